Serve on real sockets: the balancer round the module, coroutines over one epoll

burlfall serve reads PROXY_CONFIG, watches discovery, and puts the module's ActionSink on the sockets. Settings gains the names and figures the network needs; the JSON is flattened to the lines ParseSettings reads, so one reader serves the adapter and the program. ParseSettings keeps its results for the old keys.

--- a/include/meadowslip/balancer.h
+++ b/include/meadowslip/balancer.h
@@ -27,11 +27,13 @@
   double worth = 1;
   double late_share = 0;  // part of the worth that a late answer still earns
   bool stream = false;
+  std::string name = {};
 };
 
 struct Tenant {
   double quota_per_s = 0;  // over all nodes; 0: unlimited
   double share = 0;
+  std::string name = {};
 };
 
 enum class LoadField { kOther, kInFlight, kQueue, kUtilisation, kLatencyMs };
@@ -68,6 +70,12 @@
   double cross_zone_price = 0;
   double probe_price = 0;
   Micros resolution = 1000;  // events come at most this often
+  // For the network alone.
+  std::vector<std::string> zones;  // names; classes and tenants have theirs
+  std::vector<std::string> kinds;
+  Micros keepalive = 10000000;      // a backend closes a connection that was idle this long
+  Micros connect_timeout = 150000;  // a connection that does not come up in this time never will
+  int open_cap = 20000;             // requests held open
 };
 
 enum class BackendState { kGone, kReady, kDraining };
--- /dev/null
+++ b/src/net/agent.cpp
@@ -0,0 +1,366 @@
+#include "net/agent.h"
+
+#include <netinet/in.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <system_error>
+
+namespace burlfall {
+namespace {
+
+using meadowslip::BackendId;
+using meadowslip::Outcome;
+using meadowslip::RequestId;
+
+// After the word to end, connections still come for some time; they would be refused without a listener.
+constexpr Micros kDrainFor = 800 * kMs;
+constexpr Micros kCloseFor = 300 * kMs;  // for links that owe nothing
+constexpr Micros kSweepEvery = 500 * kMs;
+constexpr Micros kAcceptPause = 10 * kMs;
+constexpr size_t kSpareDescriptors = 32;  // the listener, epoll, discovery, the standard streams, and some
+
+size_t LinkBudget(const Config& config) {
+  rlimit limit{};
+  size_t most = static_cast<size_t>(config.sockets);
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) most = std::min<size_t>(most, limit.rlim_cur);
+  return std::max<size_t>(most, 2 * kSpareDescriptors) - kSpareDescriptors;
+}
+
+Descriptor Listen(const Address& at) {
+  Descriptor fd(socket(at.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  int on = 1;
+  // Guards a restart: links of the last process that are winding down must not hold the address.
+  if (!fd || setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
+      bind(fd.get(), at.get(), at.length) != 0 || listen(fd.get(), SOMAXCONN) != 0) {
+    throw std::system_error(errno, std::generic_category(), "can't listen on " + at.text);
+  }
+  return fd;
+}
+
+}  // namespace
+
+Agent::Agent(Scheduler& scheduler, const Config& config)
+    : scheduler_(scheduler),
+      config_(config),
+      most_clients_(LinkBudget(config) / 2),
+      server_links_(scheduler, config.settings, LinkBudget(config) - LinkBudget(config) / 2, counters_),
+      hosts_(scheduler, config, server_links_,
+             [this](const meadowslip::BackendList& list) {
+               ++(list.kind == meadowslip::ListKind::kFailed ? counters_.lists_failed : counters_.lists);
+               balancer_.OnList(scheduler_.Now(), list, *this);
+             }),
+      turn_(scheduler),
+      sweep_(scheduler),
+      balancer_(config.settings, config.seed) {
+  listener_.emplace(scheduler, Listen(config.listen));
+}
+
+uint16_t Agent::port() const {
+  sockaddr_storage at{};
+  socklen_t length = sizeof at;
+  if (!listener_ || getsockname(listener_->fd(), reinterpret_cast<sockaddr*>(&at), &length) != 0) return 0;
+  return ntohs(at.ss_family == AF_INET ? reinterpret_cast<sockaddr_in*>(&at)->sin_port
+                                       : reinterpret_cast<sockaddr_in6*>(&at)->sin6_port);
+}
+
+// ---- Phases ----------------------------------------------------------------------------------------------
+
+void Agent::Start() {
+  hosts_.Start();
+  phase_ = Phase::kServing;
+  turns_ = Turns();
+  turns_.Start();
+  sweeper_ = Sweep();
+  sweeper_.Start();
+  accept_ = Accept();
+  accept_.Start();
+}
+
+void Agent::Drain() {
+  if (phase_ != Phase::kServing) return;
+  phase_ = Phase::kDraining;
+  phase_ends_ = scheduler_.Now() + kDrainFor;
+  turn_.Notify();
+}
+
+void Agent::MovePhase() {
+  Micros now = scheduler_.Now();
+  if (phase_ == Phase::kDraining && now >= phase_ends_) {
+    phase_ = Phase::kClosing;
+    phase_ends_ = now + kCloseFor;
+    accept_ = Task<>();
+    AcceptWaiting();  // what has connected before the listener closes is served too
+    listener_.reset();
+    for (auto& link : clients_) link->Leave();
+  }
+  if (phase_ == Phase::kClosing && owed_ == 0 && (clients_.empty() || now >= phase_ends_)) {
+    phase_ = Phase::kStopped;
+    scheduler_.Stop();
+  }
+}
+
+// ---- What happens, turn by turn --------------------------------------------------------------------------
+
+// The module is told of results and timers here and nowhere else, so an action of its own never comes back to
+// it while it is still deciding.
+Task<> Agent::Turns() {
+  while (phase_ != Phase::kStopped) {
+    std::vector<Result> results;
+    results.swap(results_);
+    for (Result& result : results) Deliver(std::move(result));
+    FireTimers();
+    Bury();
+    MovePhase();
+    wakes_at_ = timers_.empty() ? kNever : timers_.top().at;
+    bool due = phase_ == Phase::kDraining || (phase_ == Phase::kClosing && owed_ == 0);
+    if (due) wakes_at_ = std::min(wakes_at_, phase_ends_);
+    co_await turn_.Wait(wakes_at_);
+  }
+}
+
+void Agent::Post(RequestId id, int attempt, ServerAnswer answer) {
+  Result result;
+  result.id = id;
+  result.attempt = attempt;
+  result.answer = std::move(answer);
+  results_.push_back(std::move(result));
+  turn_.Notify();
+}
+
+void Agent::Deliver(Result result) {
+  auto it = queries_.find(result.id);
+  if (it == queries_.end()) return;
+  Query& query = it->second;
+  Attempt& attempt = query.attempts[static_cast<size_t>(result.attempt)];
+  attempt.task = Task<>();
+  --query.out;
+  Count(result.answer.outcome);
+  if (result.answer.outcome == Outcome::kOk && !query.closed) {
+    ++counters_.served;
+    Close(result.id, query)->Serve(result.answer.message);
+  }
+  if (query.closed) ended_.push_back(result.id);
+  meadowslip::AttemptResult told;
+  told.id = result.id;
+  told.attempt = result.attempt;
+  told.closed = query.closed;
+  told.backend = attempt.backend;
+  told.elapsed = scheduler_.Now() - attempt.sent_at;
+  told.outcome = result.answer.outcome;
+  balancer_.OnResult(scheduler_.Now(), told, *this);
+}
+
+void Agent::FireTimers() {
+  Micros now = scheduler_.Now();
+  while (!timers_.empty() && timers_.top().at <= now) {
+    uint64_t name = timers_.top().name;
+    timers_.pop();
+    balancer_.OnTimer(scheduler_.Now(), name, *this);
+  }
+}
+
+// Not at once: whoever ended them may still hold them.
+void Agent::Bury() {
+  for (RequestId id : ended_) {
+    auto it = queries_.find(id);
+    if (it != queries_.end() && it->second.closed && it->second.out == 0) queries_.erase(it);
+  }
+  ended_.clear();
+  for (ClientLink* link : retired_) clients_.erase(link->place);
+  retired_.clear();
+}
+
+// ---- Client links ----------------------------------------------------------------------------------------
+
+Task<> Agent::Accept() {
+  while (true) {
+    bool all = AcceptWaiting();
+    // Without the pause for want of descriptors the listener would never be tried again: no edge tells of the
+    // connections that wait already.
+    co_await listener_->Wait(all ? kNever : scheduler_.Now() + kAcceptPause);
+  }
+}
+
+// False where connections are left for want of descriptors or memory.
+bool Agent::AcceptWaiting() {
+  while (true) {
+    Descriptor fd(accept4(listener_->fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (!fd && (errno == EAGAIN || errno == EWOULDBLOCK)) return true;
+    if (!fd && (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM)) {
+      ShedIdleLink();
+      return false;
+    }
+    if (!fd) continue;  // that connection is gone already
+    if (clients_.size() >= most_clients_) ShedIdleLink();
+    ++counters_.client_links;
+    clients_.push_back(std::make_unique<ClientLink>(scheduler_, std::move(fd), *this));
+    clients_.back()->place = std::prev(clients_.end());
+    clients_.back()->Start();
+  }
+}
+
+// Closes the link that has been idle longest. Between queries that is allowed, and clients come back.
+void Agent::ShedIdleLink() {
+  for (auto& link : clients_) {
+    if (!link->idle()) continue;
+    link->Leave();
+    return;
+  }
+}
+
+void Agent::Busy(ClientLink& link) {
+  ++owed_;
+  clients_.splice(clients_.end(), clients_, link.place);
+}
+
+void Agent::Free(ClientLink&) {
+  if (--owed_ == 0 && phase_ == Phase::kClosing) turn_.Notify();
+}
+
+void Agent::Retire(ClientLink& link) {
+  retired_.push_back(&link);
+  turn_.Notify();
+}
+
+RequestId Agent::Take(Query query) {
+  RequestId id = ++last_id_;
+  ++counters_.taken;
+  if (queries_.size() >= static_cast<size_t>(config_.settings.open_cap)) {
+    ++counters_.throttled;
+    query.client->Throttle(0);
+    return id;
+  }
+  query.request.id = id;
+  meadowslip::Request request = query.request;
+  queries_.emplace(id, std::move(query));
+  balancer_.OnRequest(scheduler_.Now(), request, *this);
+  return id;
+}
+
+void Agent::Left(RequestId id) {
+  Query* query = Open(id);
+  if (query == nullptr) return;
+  ++counters_.left;
+  Close(id, *query);
+  balancer_.OnClientLeft(scheduler_.Now(), id, *this);
+}
+
+Task<> Agent::Sweep() {
+  while (true) {
+    co_await sweep_.Wait(scheduler_.Now() + kSweepEvery);
+    hosts_.RetireLinks();
+  }
+}
+
+// ---- The module's actions --------------------------------------------------------------------------------
+
+Query* Agent::Open(RequestId id) {
+  auto it = queries_.find(id);
+  return it == queries_.end() || it->second.closed ? nullptr : &it->second;
+}
+
+// From here on nothing is owed; the answer is the caller's to give.
+ClientLink* Agent::Close(RequestId id, Query& query) {
+  query.closed = true;
+  ended_.push_back(id);
+  turn_.Notify();
+  return std::exchange(query.client, nullptr);
+}
+
+void Agent::Send(RequestId id, BackendId backend, Micros timeout) {
+  auto it = queries_.find(id);
+  if (it == queries_.end()) return;
+  Query& query = it->second;
+  int n = static_cast<int>(query.attempts.size());
+  Attempt& attempt = query.attempts.emplace_back();
+  attempt.backend = backend;
+  attempt.sent_at = scheduler_.Now();
+  ++query.out;
+  Micros until = query.request.give_up_at;
+  if (timeout > 0) until = std::min(until, attempt.sent_at + timeout);
+  Host* host = hosts_.Find(backend);
+  if (query.closed || host == nullptr || n >= config_.settings.max_attempts || until <= attempt.sent_at) {
+    attempt.ended = true;
+    return Post(id, n, ServerAnswer());
+  }
+  ++counters_.sent;
+  attempt.task = Try(id, n, *host, until);
+  attempt.task.Start();
+}
+
+Task<> Agent::Try(RequestId id, int n, Host& host, Micros until) {
+  ServerAnswer answer = co_await server_links_.Exchange(host, queries_.at(id).message, until);
+  queries_.at(id).attempts[static_cast<size_t>(n)].ended = true;
+  Post(id, n, std::move(answer));
+}
+
+void Agent::Cancel(RequestId id, int n) {
+  auto it = queries_.find(id);
+  if (it == queries_.end() || n < 0 || static_cast<size_t>(n) >= it->second.attempts.size()) return;
+  Attempt& attempt = it->second.attempts[static_cast<size_t>(n)];
+  if (attempt.ended) return;  // its own outcome is on its way to the module
+  attempt.ended = true;
+  attempt.task = Task<>();  // closes its link
+  ServerAnswer cancelled;
+  cancelled.outcome = Outcome::kCancelled;
+  Post(id, n, std::move(cancelled));
+}
+
+void Agent::Refuse(RequestId id, Micros retry_after) {
+  Query* query = Open(id);
+  if (query == nullptr) return;
+  ++counters_.throttled;
+  Close(id, *query)->Throttle(retry_after);
+}
+
+void Agent::Fail(RequestId id) {
+  Query* query = Open(id);
+  if (query == nullptr) return;
+  ++counters_.failed;
+  Close(id, *query)->Fail();
+}
+
+void Agent::Schedule(Micros delay, uint64_t timer) {
+  ModuleTimer set;
+  set.at = scheduler_.Now() + std::max<Micros>(0, delay);
+  set.order = ++timers_set_;
+  set.name = timer;
+  timers_.push(set);
+  if (set.at < wakes_at_) turn_.Notify();
+}
+
+void Agent::Subscribe() { hosts_.Subscribe(); }
+
+void Agent::Count(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kOk:
+      ++counters_.ok;
+      break;
+    case Outcome::kError:
+      ++counters_.error;
+      break;
+    case Outcome::kFull:
+      ++counters_.full;
+      break;
+    case Outcome::kTimeout:
+      ++counters_.timeout;
+      break;
+    case Outcome::kConnectFailed:
+      ++counters_.connect_failed;
+      break;
+    case Outcome::kReset:
+      ++counters_.reset;
+      break;
+    case Outcome::kCancelled:
+      ++counters_.cancelled;
+      break;
+    case Outcome::kMoot:
+      ++counters_.moot;
+      break;
+  }
+}
+
+}  // namespace burlfall
--- /dev/null
+++ b/src/net/client_link.cpp
@@ -0,0 +1,219 @@
+#include "net/client_link.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+#include <utility>
+
+#include "net/agent.h"
+#include "net/platform.h"
+
+namespace burlfall {
+namespace {
+
+constexpr Micros kReadPatience = 30 * kSecond;  // from a query's first byte to its last
+constexpr Micros kWritePatience = 10 * kSecond;
+constexpr Micros kLinger = 1 * kSecond;
+constexpr Micros kMostPatience = 3600 * kSecond;
+
+// "480m" or "1500u"; anything else says nothing.
+Micros ParseExpiry(const std::string* text, Micros fallback) {
+  if (text == nullptr) return fallback;
+  double number = 0;
+  const char* end = text->data() + text->size();
+  auto [unit, error] = std::from_chars(text->data(), end, number);
+  if (error != std::errc() || end - unit != 1 || !std::isfinite(number) || number < 0) return fallback;
+  if (*unit != 'm' && *unit != 'u') return fallback;
+  return static_cast<Micros>(std::min(number * (*unit == 'm' ? kMs : 1), static_cast<double>(kMostPatience)));
+}
+
+template <typename Named>
+int Position(const std::vector<Named>& all, std::string_view name) {
+  auto it = std::find_if(all.begin(), all.end(), [&](const Named& n) { return n.name == name; });
+  return it == all.end() ? -1 : static_cast<int>(it - all.begin());
+}
+
+std::string_view FirstPart(std::string_view target) {
+  target.remove_prefix(1);
+  return target.substr(0, target.find_first_of("/?"));
+}
+
+}  // namespace
+
+ClientLink::ClientLink(Scheduler& scheduler, Descriptor fd, Agent& agent)
+    : agent_(agent), socket_(scheduler, std::move(fd)) {
+  int on = 1;
+  setsockopt(socket_.fd(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+void ClientLink::Start() {
+  task_ = Run();
+  task_.Start();
+}
+
+void ClientLink::Leave() {
+  leave_ = true;
+  socket_.Notify();
+}
+
+Task<> ClientLink::Run() {
+  while (true) {
+    bool whole = co_await ReadQuery();
+    if (!whole) break;
+    busy_ = true;
+    agent_.Busy(*this);
+    bool stays = co_await Handle();
+    busy_ = false;
+    agent_.Free(*this);
+    if (!stays) break;
+  }
+  leaving_ = true;
+  co_await Linger();
+  agent_.Retire(*this);
+}
+
+// False where the link is to be closed without an answer, or was answered by an error of ours.
+Task<bool> ClientLink::ReadQuery() {
+  began_ = 0;
+  while (true) {
+    if (began_ == 0 && !in_.empty()) began_ = socket_.scheduler().Now();
+    Parsed parsed = in_.empty() ? Parsed::kMore : parser_.Feed(in_);
+    if (parsed == Parsed::kDone) co_return true;
+    Io io = Io::kSome;
+    if (parsed == Parsed::kMore) {
+      io = socket_.Read(in_);
+      if (io == Io::kSome) continue;
+      if (io != Io::kLater) co_return false;
+      // Only here, with nothing left to read: what has come whole gets its answer.
+      if (leave_ && began_ == 0) co_return false;
+      bool notified = co_await socket_.Wait(began_ == 0 ? kNever : began_ + kReadPatience);
+      if (notified) continue;
+    }
+    ++agent_.counters().bad;
+    last_ = true;
+    Answer(parsed == Parsed::kMore ? 408 : parsed == Parsed::kBad ? 400 : 413, "", "");
+    co_await WriteAnswer();
+    co_return false;
+  }
+}
+
+// Answers one query; false where the link is to be closed.
+Task<bool> ClientLink::Handle() {
+  HttpMessage message = parser_.Take();
+  last_ = !message.keep_alive;
+  answered_ = false;
+  const meadowslip::Settings& settings = agent_.settings();
+  std::string_view path = std::string_view(message.target).substr(0, message.target.find('?'));
+  int request_class = Position(settings.classes, PlainName(FirstPart(message.target)));
+  if (message.Find(platform::kTraceId) == nullptr) {
+    bool get = message.method == "GET";
+    if (get && path == platform::kUpPath) {
+      Answer(agent_.up() ? 200 : 503, "", agent_.up() ? "up\n" : "not serving\n");
+    } else if (get && path == platform::kCountersPath) {
+      Answer(200, "", agent_.counters().Text() + "\n");
+    } else {
+      ++agent_.counters().bad;
+      Answer(request_class < 0 ? 404 : 400, "", "");
+    }
+  } else if (FirstPart(message.target).empty()) {
+    ++agent_.counters().bad;
+    Answer(404, "", "");
+  } else {
+    Query query;
+    query.client = this;
+    query.request.request_class = request_class;
+    const std::string* tenant = message.Find(platform::kTenant);
+    query.request.tenant =
+        tenant != nullptr ? std::max(0, Position(settings.tenants, PlainName(*tenant))) : 0;
+    const std::string* second = message.Find(platform::kSecondTry);
+    query.request.client_retry = second != nullptr && *second == "1";
+    Micros patience = request_class < 0 ? 0 : settings.classes[static_cast<size_t>(request_class)].deadline;
+    // The client counts from its sending: the first bytes are the nearest to that.
+    query.request.give_up_at = began_ + ParseExpiry(message.Find(platform::kExpiresIn), patience);
+    query.message = std::move(message);
+    meadowslip::RequestId id = agent_.Take(std::move(query));
+    while (!answered_) {
+      co_await socket_.Wait();
+      if (!answered_ && !Listen()) {
+        agent_.Left(id);
+        co_return false;
+      }
+    }
+  }
+  bool written = co_await WriteAnswer();
+  co_return written && !last_;
+}
+
+// What comes while a query runs belongs to the next one; false where the client has closed the link.
+bool ClientLink::Listen() {
+  while (in_.size() < kMostHead + kMostBody) {  // beyond that the client waits
+    Io io = socket_.Read(in_);
+    if (io == Io::kLater) return true;
+    if (io != Io::kSome) return false;
+  }
+  return true;
+}
+
+void ClientLink::Serve(const HttpMessage& answer) {
+  std::string headers;
+  AppendEndToEnd(headers, answer);
+  Answer(200, headers, answer.body);
+}
+
+void ClientLink::Throttle(Micros retry_after) {
+  std::string headers;
+  if (retry_after > 0) {
+    char seconds[32];
+    std::snprintf(seconds, sizeof seconds, "%.3f", static_cast<double>(retry_after) / kSecond);
+    AppendHeader(headers, platform::kRetryAfter, seconds);
+  }
+  Answer(503, headers, "");
+}
+
+void ClientLink::Fail() { Answer(502, "", ""); }
+
+void ClientLink::Answer(int status, const std::string& headers, std::string_view body) {
+  last_ = last_ || agent_.draining();
+  out_ = "HTTP/1.1 " + std::to_string(status) + " ";
+  out_.append(Reason(status)).append("\r\n").append(headers);
+  AppendHeader(out_, "Content-Length", std::to_string(body.size()));
+  if (last_) AppendHeader(out_, "Connection", "close");
+  out_.append("\r\n").append(body);
+  answered_ = true;
+  socket_.Notify();
+}
+
+Task<bool> ClientLink::WriteAnswer() {
+  const Micros until = socket_.scheduler().Now() + kWritePatience;
+  for (std::string_view rest = out_; !rest.empty();) {
+    Io io = socket_.Write(rest);
+    if (io == Io::kBroken) co_return false;
+    if (rest.empty()) break;
+    bool notified = co_await socket_.Wait(until);
+    if (!notified && socket_.scheduler().Now() >= until) co_return false;
+  }
+  out_.clear();
+  co_return true;
+}
+
+// Waits for the client's end after ours. Guards the last answer: closing over bytes that were not read would
+// reset the link, and the client could lose what it had not read yet.
+Task<> ClientLink::Linger() {
+  const Micros until = socket_.scheduler().Now() + kLinger;
+  shutdown(socket_.fd(), SHUT_WR);
+  while (true) {
+    in_.clear();
+    Io io = socket_.Read(in_);
+    if (io == Io::kSome) continue;
+    if (io != Io::kLater) co_return;
+    bool notified = co_await socket_.Wait(until);
+    if (!notified) co_return;
+  }
+}
+
+}  // namespace burlfall
--- /dev/null
+++ b/src/net/client_link.h
@@ -0,0 +1,57 @@
+// A client link: reads one query after the other and writes their answers.
+#ifndef BURLFALL_NET_CLIENT_LINK_H_
+#define BURLFALL_NET_CLIENT_LINK_H_
+
+#include <list>
+#include <memory>
+#include <string>
+
+#include "net/http.h"
+#include "net/query.h"
+#include "net/scheduler.h"
+
+namespace burlfall {
+
+class Agent;
+
+class ClientLink {
+ public:
+  ClientLink(Scheduler& scheduler, Descriptor fd, Agent& agent);
+  void Start();
+
+  // The final answer to the query at hand; exactly one of these.
+  void Serve(const HttpMessage& answer);
+  void Throttle(Micros retry_after);
+  void Fail();
+
+  bool idle() const { return !busy_ && !leaving_ && in_.empty() && !parser_.started(); }
+  void Leave();  // closes as soon as it is idle
+
+  std::list<std::unique_ptr<ClientLink>>::iterator place;  // among the agent's links
+
+ private:
+  Task<> Run();
+  Task<bool> ReadQuery();
+  Task<bool> Handle();
+  Task<bool> WriteAnswer();
+  Task<> Linger();
+  bool Listen();
+  void Answer(int status, const std::string& headers, std::string_view body);
+
+  Agent& agent_;
+  Socket socket_;
+  HttpParser parser_{HttpParser::Kind::kRequest};
+  std::string in_;
+  std::string out_;
+  Micros began_ = 0;  // when the first bytes of the query came
+  bool busy_ = false;
+  bool answered_ = false;
+  bool last_ = false;  // the link closes after this answer
+  bool leave_ = false;
+  bool leaving_ = false;
+  Task<> task_;  // last: what it uses must outlive it
+};
+
+}  // namespace burlfall
+
+#endif  // BURLFALL_NET_CLIENT_LINK_H_
--- /dev/null
+++ b/src/net/config.h
@@ -0,0 +1,68 @@
+// What the program is told at its start: its addresses and limits, the list it last had, and the settings.
+#ifndef BURLFALL_NET_CONFIG_H_
+#define BURLFALL_NET_CONFIG_H_
+
+#include <sys/socket.h>
+
+#include <cstdint>
+#include <functional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "meadowslip/balancer.h"
+
+namespace burlfall {
+
+// What is wrong with the configuration or with a list, in plain words.
+class BadConfig : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct Address {
+  sockaddr_storage storage{};
+  socklen_t length = 0;
+  std::string text;
+
+  const sockaddr* get() const { return reinterpret_cast<const sockaddr*>(&storage); }
+};
+Address ParseAddress(const std::string& text);  // "10.0.0.4:9000" or "[::1]:9000"; throws BadConfig
+
+// Discovery's list, or what has changed in it.
+struct HostEntry {
+  std::string name;
+  Address address;
+  meadowslip::BackendEntry entry;  // without its id
+};
+struct HostList {
+  uint64_t version = 0;
+  bool full = false;
+  std::vector<HostEntry> hosts;
+};
+HostList ParseHostList(std::string_view json, const meadowslip::Settings& settings);  // throws BadConfig
+
+struct Config {
+  std::string name;
+  Address listen;
+  Address discovery;
+  uint64_t seed = 0;
+  int sockets = 1024;
+  HostList known;
+  meadowslip::Settings settings;
+};
+
+// Returns nullptr for a variable that is not set.
+using Environment = std::function<const char*(const char*)>;
+Config LoadConfig(const Environment& environment);  // throws BadConfig
+
+// The nested JSON of the settings as the path=value lines that ParseSettings reads.
+std::string FlattenSettings(std::string_view json);
+
+// A name as it stands in path=value lines: no spaces, commas or line breaks.
+std::string PlainName(std::string_view name);
+
+}  // namespace burlfall
+
+#endif  // BURLFALL_NET_CONFIG_H_
--- /dev/null
+++ b/src/net/counters.h
@@ -0,0 +1,36 @@
+// What the program has taken, sent and answered since its start.
+#ifndef BURLFALL_NET_COUNTERS_H_
+#define BURLFALL_NET_COUNTERS_H_
+
+#include <cstdint>
+#include <string>
+
+namespace burlfall {
+
+struct Counters {
+  uint64_t client_links = 0;  // accepted
+  uint64_t taken = 0;         // queries
+  uint64_t bad = 0;           // answered 4xx before they were queries
+  uint64_t served = 0;
+  uint64_t throttled = 0;
+  uint64_t failed = 0;
+  uint64_t left = 0;  // the client went first
+  uint64_t sent = 0;  // attempts
+  uint64_t server_links = 0;
+  uint64_t ok = 0;  // outcomes of attempts, from here on
+  uint64_t error = 0;
+  uint64_t full = 0;
+  uint64_t timeout = 0;
+  uint64_t connect_failed = 0;
+  uint64_t reset = 0;
+  uint64_t cancelled = 0;
+  uint64_t moot = 0;
+  uint64_t lists = 0;  // from discovery
+  uint64_t lists_failed = 0;
+
+  std::string Text() const;  // one line: name=value ...
+};
+
+}  // namespace burlfall
+
+#endif  // BURLFALL_NET_COUNTERS_H_
--- /dev/null
+++ b/src/net/http.h
@@ -0,0 +1,70 @@
+// HTTP/1.1: an incremental parser for requests and responses, and the writers.
+#ifndef BURLFALL_NET_HTTP_H_
+#define BURLFALL_NET_HTTP_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace burlfall {
+
+constexpr size_t kMostBody = 64 * 1024;
+constexpr size_t kMostHead = 16 * 1024;
+
+struct Header {
+  std::string name;
+  std::string value;
+};
+
+struct HttpMessage {
+  std::string method;  // of a request
+  std::string target;
+  int status = 0;  // of a response
+  std::vector<Header> headers;
+  std::string body;
+  bool keep_alive = true;
+
+  const std::string* Find(std::string_view name) const;  // nullptr: absent
+};
+
+enum class Parsed { kMore, kDone, kBad, kTooLarge };
+
+// Reads one message after the other off the front of a buffer that grows as bytes come.
+class HttpParser {
+ public:
+  enum class Kind { kRequest, kResponse };
+  explicit HttpParser(Kind kind) : kind_(kind) {}
+
+  Parsed Feed(std::string& buffer);
+  Parsed Closed();  // the peer has ended its sending: what it means for the message at hand
+  bool started() const { return part_ != Part::kHead; }
+  HttpMessage Take();  // after kDone; the parser is then at the next message
+
+ private:
+  enum class Part { kHead, kBody, kChunkSize, kChunk, kChunkEnd, kTrailer, kToEnd, kDone };
+
+  Parsed Head(std::string_view head);
+  bool StartLine(std::string_view line);
+  Parsed Framing();
+  Parsed Chunks(std::string& buffer);
+
+  Kind kind_;
+  Part part_ = Part::kHead;
+  size_t scanned_ = 0;  // of the head, without its end
+  size_t left_ = 0;     // of the body or the chunk
+  size_t trailer_ = 0;
+  bool http_1_0_ = false;
+  HttpMessage message_;
+};
+
+bool SameName(std::string_view a, std::string_view b);  // header names: case does not count
+void AppendHeader(std::string& out, std::string_view name, std::string_view value);
+// Those headers of a message that are for the other end: not the framing, nor what concerns one connection.
+void AppendEndToEnd(std::string& out, const HttpMessage& message, std::string_view but = {});
+std::string_view Reason(int status);
+
+}  // namespace burlfall
+
+#endif  // BURLFALL_NET_HTTP_H_
--- /dev/null
+++ b/src/net/platform.h
@@ -0,0 +1,34 @@
+// The platform's names: headers, paths, variables and fields of its JSON. They stand here and nowhere else,
+// so that another platform's front can go through the same core.
+#ifndef BURLFALL_NET_PLATFORM_H_
+#define BURLFALL_NET_PLATFORM_H_
+
+namespace burlfall::platform {
+
+// Headers of a query, of a server's answer and of ours.
+inline constexpr char kTraceId[] = "X-Trace-Id";
+inline constexpr char kTenant[] = "X-Customer";
+inline constexpr char kExpiresIn[] = "X-Expires-In";
+inline constexpr char kSecondTry[] = "X-Second-Try";
+inline constexpr char kNeverRan[] = "X-Never-Ran";
+inline constexpr char kRetryAfter[] = "Retry-After";
+
+// Paths: ours, and discovery's.
+inline constexpr char kUpPath[] = "/up";
+inline constexpr char kCountersPath[] = "/counters";
+inline constexpr char kHostsPath[] = "/discovery/hosts";
+
+// The environment.
+inline constexpr char kNameVariable[] = "PROXY_NAME";
+inline constexpr char kListenVariable[] = "PROXY_LISTEN";
+inline constexpr char kDiscoveryVariable[] = "PROXY_DISCOVERY";
+inline constexpr char kConfigVariable[] = "PROXY_CONFIG";
+
+// States of a server in discovery's list.
+inline constexpr char kReady[] = "Ready";
+inline constexpr char kDraining[] = "Terminating";
+inline constexpr char kGone[] = "Gone";
+
+}  // namespace burlfall::platform
+
+#endif  // BURLFALL_NET_PLATFORM_H_
--- /dev/null
+++ b/src/net/query.h
@@ -0,0 +1,33 @@
+// A query on its way: from its last byte to its final answer and the end of its last attempt.
+#ifndef BURLFALL_NET_QUERY_H_
+#define BURLFALL_NET_QUERY_H_
+
+#include <vector>
+
+#include "meadowslip/balancer.h"
+#include "net/http.h"
+#include "net/scheduler.h"
+
+namespace burlfall {
+
+class ClientLink;
+
+struct Attempt {
+  meadowslip::BackendId backend = 0;
+  Micros sent_at = 0;
+  bool ended = false;  // its outcome is known, though the module may not have heard yet
+  Task<> task;
+};
+
+struct Query {
+  meadowslip::Request request;
+  HttpMessage message;
+  ClientLink* client = nullptr;  // while it is owed an answer
+  bool closed = false;           // answered, or the client has left
+  int out = 0;                   // attempts whose results the module has not been told
+  std::vector<Attempt> attempts;
+};
+
+}  // namespace burlfall
+
+#endif  // BURLFALL_NET_QUERY_H_
--- /dev/null
+++ b/src/net/server_link.cpp
@@ -0,0 +1,167 @@
+#include "net/server_link.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <utility>
+
+#include "net/platform.h"
+
+namespace burlfall {
+namespace {
+
+using meadowslip::BackendState;
+using meadowslip::Outcome;
+
+// Of the time after which the server's machine closes an idle link. Guards against a query that crosses that
+// close: it would end as a reset, and an unsafe one could not be sent again.
+constexpr double kKeepShare = 0.7;
+
+std::string WriteQuery(const HttpMessage& query, Micros patience) {
+  std::string out;
+  out.reserve(512 + query.body.size());
+  out.append(query.method).append(" ").append(query.target).append(" HTTP/1.1\r\n");
+  AppendEndToEnd(out, query, platform::kExpiresIn);
+  AppendHeader(out, platform::kExpiresIn, std::to_string(patience) + "u");
+  if (!query.body.empty() || query.method != "GET") {
+    AppendHeader(out, "Content-Length", std::to_string(query.body.size()));
+  }
+  return out.append("\r\n").append(query.body);
+}
+
+Outcome ToOutcome(const HttpMessage& answer) {
+  if (answer.status == 200) return Outcome::kOk;
+  const std::string* never_ran = answer.Find(platform::kNeverRan);
+  bool turned_away =
+      (answer.status == 503 || answer.status == 504) && never_ran != nullptr && *never_ran == "1";
+  return turned_away ? Outcome::kFull : Outcome::kError;
+}
+
+}  // namespace
+
+Descriptor OpenConnection(const Address& to) {
+  Descriptor fd(socket(to.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!fd) return fd;
+  int on = 1;
+  setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  if (connect(fd.get(), to.get(), to.length) != 0 && errno != EINPROGRESS) return Descriptor();
+  return fd;
+}
+
+Task<bool> Connected(Socket& socket, Micros until) {
+  while (true) {
+    int error = 0;
+    socklen_t length = sizeof error;
+    if (getsockopt(socket.fd(), SOL_SOCKET, SO_ERROR, &error, &length) != 0 || error != 0) co_return false;
+    sockaddr_storage peer;
+    length = sizeof peer;
+    if (getpeername(socket.fd(), reinterpret_cast<sockaddr*>(&peer), &length) == 0) co_return true;
+    bool notified = co_await socket.Wait(until);
+    if (!notified) co_return false;
+  }
+}
+
+ServerLink::ServerLink(ServerLinks& links, Descriptor fd, uint64_t era)
+    : Socket(links.scheduler_, std::move(fd)), links_(links), era_(era) {
+  ++links_.open_;
+}
+
+ServerLink::~ServerLink() { --links_.open_; }
+
+ServerLinks::ServerLinks(Scheduler& scheduler, const meadowslip::Settings& settings, size_t most,
+                         Counters& counters)
+    : scheduler_(scheduler),
+      keep_for_(static_cast<Micros>(static_cast<double>(settings.keepalive) * kKeepShare)),
+      connect_timeout_(settings.connect_timeout),
+      most_(most),
+      counters_(counters) {}
+
+Task<ServerAnswer> ServerLinks::Exchange(Host& host, const HttpMessage& query, Micros until) {
+  // What is written is kept in this frame: the query may be gone before the attempt is.
+  std::string bytes = WriteQuery(query, std::max<Micros>(0, until - scheduler_.Now()));
+  ServerAnswer answer;
+  std::unique_ptr<ServerLink> link = Reuse(host);
+  if (!link) {
+    if (open_ >= most_) co_return answer;  // moot: the host is not at fault
+    link = Open(host);
+    answer.outcome = Outcome::kConnectFailed;
+    if (!link) co_return answer;
+    Micros comes_up_by = scheduler_.Now() + connect_timeout_;
+    bool connected = co_await Connected(*link, std::min(until, comes_up_by));
+    if (!connected) {
+      // A query that ran out of time first says nothing about the host.
+      if (until < comes_up_by && scheduler_.Now() >= until) answer.outcome = Outcome::kMoot;
+      co_return answer;
+    }
+    // Guards the drain rule: the host may have been withdrawn while the connection came up.
+    if (host.state != BackendState::kReady) co_return answer;
+  }
+  answer.outcome = Outcome::kConnectFailed;  // until the last byte is written it can't have run
+  for (std::string_view rest = bytes; !rest.empty();) {
+    Io io = link->Write(rest);
+    if (io == Io::kBroken) co_return answer;
+    if (rest.empty()) break;
+    bool notified = co_await link->Wait(until);
+    if (!notified) co_return answer;
+  }
+  answer.outcome = Outcome::kReset;  // from here on it may have run
+  HttpParser parser(HttpParser::Kind::kResponse);
+  std::string in;
+  Parsed parsed = Parsed::kMore;
+  while (parsed == Parsed::kMore) {
+    Io io = link->Read(in);
+    if (io == Io::kSome) {
+      parsed = parser.Feed(in);
+    } else if (io == Io::kLater) {
+      bool notified = co_await link->Wait(until);
+      if (notified) continue;
+      answer.outcome = Outcome::kTimeout;
+      co_return answer;
+    } else {
+      if (io == Io::kBroken || parser.Closed() != Parsed::kDone) co_return answer;
+      parsed = Parsed::kDone;
+    }
+  }
+  answer.outcome = Outcome::kError;  // an answer that can't be understood
+  if (parsed != Parsed::kDone) co_return answer;
+  answer.message = parser.Take();
+  answer.outcome = ToOutcome(answer.message);
+  if (answer.message.keep_alive && in.empty()) Keep(host, std::move(link));
+  co_return answer;
+}
+
+std::unique_ptr<ServerLink> ServerLinks::Reuse(Host& host) {
+  while (!host.idle.empty()) {
+    std::unique_ptr<ServerLink> link = std::move(host.idle.back());
+    host.idle.pop_back();
+    // Guards against a query on a link that its server has closed: it would end as a reset.
+    if (link->era_ == host.era && scheduler_.Now() - link->idle_since_ < keep_for_ && link->Quiet())
+      return link;
+  }
+  return nullptr;
+}
+
+std::unique_ptr<ServerLink> ServerLinks::Open(const Host& host) {
+  Descriptor fd = OpenConnection(host.address);
+  if (!fd) return nullptr;
+  ++counters_.server_links;
+  return std::make_unique<ServerLink>(*this, std::move(fd), host.era);
+}
+
+void ServerLinks::Keep(Host& host, std::unique_ptr<ServerLink> link) {
+  if (host.state != BackendState::kReady || link->era_ != host.era) return;
+  link->idle_since_ = scheduler_.Now();
+  host.idle.push_back(std::move(link));
+}
+
+void ServerLinks::Retire(Host& host) {
+  if (host.state != BackendState::kReady) return host.idle.clear();
+  std::erase_if(host.idle, [&](const std::unique_ptr<ServerLink>& link) {
+    return link->era_ != host.era || scheduler_.Now() - link->idle_since_ >= keep_for_ || !link->Quiet();
+  });
+}
+
+}  // namespace burlfall
--- /dev/null
+++ b/src/net/server_link.h
@@ -0,0 +1,80 @@
+// Server links: the connections to the hosts of the group, and one attempt of a query over one of them.
+#ifndef BURLFALL_NET_SERVER_LINK_H_
+#define BURLFALL_NET_SERVER_LINK_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "meadowslip/balancer.h"
+#include "net/config.h"
+#include "net/counters.h"
+#include "net/http.h"
+#include "net/scheduler.h"
+
+namespace burlfall {
+
+// A connection that is being made; an invalid descriptor where that failed at once.
+Descriptor OpenConnection(const Address& to);
+Task<bool> Connected(Socket& socket, Micros until);
+
+class ServerLinks;
+
+class ServerLink : public Socket {
+ public:
+  ServerLink(ServerLinks& links, Descriptor fd, uint64_t era);
+  ~ServerLink();
+
+ private:
+  friend class ServerLinks;
+  ServerLinks& links_;
+  uint64_t era_;
+  Micros idle_since_ = 0;
+};
+
+// A server as the host group last told of it.
+struct Host {
+  meadowslip::BackendId id = 0;
+  std::string name;
+  Address address;
+  meadowslip::BackendState state = meadowslip::BackendState::kGone;
+  Micros started_at = 0;
+  uint64_t era = 0;                               // counts its restarts and changes of address
+  std::vector<std::unique_ptr<ServerLink>> idle;  // the most recently used last
+};
+
+struct ServerAnswer {
+  meadowslip::Outcome outcome = meadowslip::Outcome::kMoot;
+  HttpMessage message;  // of an outcome that is kOk
+};
+
+class ServerLinks {
+ public:
+  ServerLinks(Scheduler& scheduler, const meadowslip::Settings& settings, size_t most, Counters& counters);
+
+  // Sends the query to the host and waits for the answer until then. Never sends it a second time.
+  Task<ServerAnswer> Exchange(Host& host, const HttpMessage& query, Micros until);
+
+  // Closes what has been idle for long, or all that is idle where the host takes nothing new.
+  void Retire(Host& host);
+  size_t open() const { return open_; }
+
+ private:
+  friend class ServerLink;
+  std::unique_ptr<ServerLink> Reuse(Host& host);
+  std::unique_ptr<ServerLink> Open(const Host& host);
+  void Keep(Host& host, std::unique_ptr<ServerLink> link);
+
+  Scheduler& scheduler_;
+  Micros keep_for_;
+  Micros connect_timeout_;
+  size_t most_;
+  size_t open_ = 0;
+  Counters& counters_;
+};
+
+}  // namespace burlfall
+
+#endif  // BURLFALL_NET_SERVER_LINK_H_
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -263,6 +263,16 @@
   std::map<std::string, std::string> values_;
 };
 
+std::vector<std::string> Words(std::string_view list) {
+  std::vector<std::string> words;
+  while (!list.empty()) {
+    size_t end = std::min(list.find(','), list.size());
+    words.emplace_back(list.substr(0, end));
+    list.remove_prefix(std::min(end + 1, list.size()));
+  }
+  return words;
+}
+
 LoadField ToField(std::string_view word) {
   if (word == "rif") return LoadField::kInFlight;
   if (word == "q") return LoadField::kQueue;
@@ -301,11 +311,13 @@
     c.worth = in.Number(at + "Worth", 1);
     c.late_share = in.Number(at + "LateShare", 0);
     c.stream = in.Flag(at + "Stream", false);
+    c.name = in.Text(at + "Name");
     s.classes.push_back(c);
   }
   for (int i = 0, n = in.Count("Realms.count", 0); i < n; ++i) {
     std::string at = "Realms." + std::to_string(i) + ".";
-    s.tenants.push_back({in.Number(at + "QuotaPerS", 0), in.Number(at + "Share", 0)});
+    s.tenants.push_back(
+        {in.Number(at + "QuotaPerS", 0), in.Number(at + "Share", 0), std::string(in.Text(at + "Name"))});
   }
   s.over_share_worth = in.Number("OverShareWorth", 1);
   s.may_cancel = in.Flag("Caps.Cancel", false);
@@ -325,14 +337,17 @@
   s.must_subscribe = in.Word("MembershipMode", 0, {"automatic", "subscribe"}) == 1;
   s.advertised_sizes = in.Word("Weights", 0, {"silent", "nominal", "rough", "live"}) != 0;
   s.report_mode = static_cast<ReportMode>(in.Word("Report.How", 0, {"silent", "piggyback", "pull"}));
-  for (std::string_view columns = in.Text("Report.Columns"); !columns.empty();) {
-    size_t end = std::min(columns.find(','), columns.size());
-    s.report_fields.push_back(ToField(columns.substr(0, end)));
-    columns.remove_prefix(std::min(end + 1, columns.size()));
+  for (const std::string& column : Words(in.Text("Report.Columns"))) {
+    s.report_fields.push_back(ToField(column));
   }
   s.cross_zone_price = in.Number("Prices.CrossZone", 0);
   s.probe_price = in.Number("Prices.Probe", 0);
   s.resolution = in.Time("Resolution", 1000);
+  s.zones = Words(in.Text("Zones"));
+  s.kinds = Words(in.Text("MachineTypes"));
+  s.keepalive = in.Time("Caps.Keepalive", s.keepalive);
+  s.connect_timeout = std::max<Micros>(1, in.Time("Caps.ConnectTimeout", s.connect_timeout));
+  s.open_cap = in.Count("Caps.OpenCap", s.open_cap, 1, 100000000);
   return s;
 }
 
