--- a/src/main.cpp
+++ b/src/main.cpp
@@ -68,7 +68,8 @@
   Task<> hearing = HearSignals(signals, agent);
   hearing.Start();
   agent.Start();
-  std::cerr << "burlfall: " << config.name << " serves at " << config.listen.text << "\n";
+  std::string host = config.listen.text.substr(0, config.listen.text.rfind(':') + 1);
+  std::cerr << "burlfall: " << config.name << " serves at " << host << agent.port() << "\n";
   scheduler.Run();
   PrintCounters(agent, agent.counters());
   return 0;
--- a/src/net/host_group.cpp
+++ b/src/net/host_group.cpp
@@ -18,6 +18,7 @@
 // gives no sign. The wait is half of the time within which the deployment wants to be asked.
 constexpr Micros kLongestWait = 20 * kSecond;
 constexpr Micros kAnswerPatience = 1500 * kMs;
+constexpr Micros kCallPatience = 2500 * kMs;  // for a call that does not wait: discovery handles them in turn
 
 // The same at every balancer and after every restart.
 uint32_t Hash(const std::string& name) {
@@ -62,7 +63,8 @@
     while (!subscribed_) co_await asked_.Wait();
     std::string path = platform::kHostsPath;
     if (!fresh) path += "?index=" + std::to_string(version) + "&wait=" + std::to_string(wait / kMs);
-    std::optional<HostList> list = co_await Ask(std::move(path), (fresh ? 0 : wait) + kAnswerPatience);
+    std::optional<HostList> list =
+        co_await Ask(std::move(path), fresh ? kCallPatience : wait + kAnswerPatience);
     if (list) {
       fresh = false;
       version = list->version;
--- /dev/null
+++ b/tests/net/peers.h
@@ -0,0 +1,218 @@
+// Scripted peers for the stories: the program itself as a child, and blocking sockets on loopback around it.
+// Their descriptors stay out of the child: a listener that it held would never refuse. Every wait ends after
+// kPatience, which is long: it is only there for a program that is broken.
+#ifndef BURLFALL_TESTS_NET_PEERS_H_
+#define BURLFALL_TESTS_NET_PEERS_H_
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "net/scheduler.h"
+
+namespace burlfall {
+
+constexpr int kPatience = 15;  // seconds
+
+inline sockaddr_in Loopback(uint16_t port) {
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  at.sin_port = htons(port);
+  return at;
+}
+
+inline bool Readable(int fd, int ms) {
+  pollfd one{fd, POLLIN, 0};
+  return poll(&one, 1, ms) == 1;
+}
+
+// One end of a connection.
+class Link {
+ public:
+  explicit Link(Descriptor fd) : fd_(std::move(fd)) {
+    timeval patience{kPatience, 0};
+    setsockopt(fd_.get(), SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+  }
+  static Link To(uint16_t port) {
+    Descriptor fd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    sockaddr_in at = Loopback(port);
+    REQUIRE(connect(fd.get(), reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+    return Link(std::move(fd));
+  }
+  void Write(const std::string& bytes) {
+    REQUIRE(send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+  }
+  // One message, with its body where Content-Length tells of one; empty where the link ended first.
+  std::string Read() {
+    std::string message;
+    size_t want = std::string::npos;
+    char c;
+    while (message.size() < want && recv(fd_.get(), &c, 1, 0) == 1) {
+      message += c;
+      if (want != std::string::npos || !message.ends_with("\r\n\r\n")) continue;
+      size_t length = message.find("Content-Length: ");
+      want = message.size() + (length == std::string::npos ? 0 : std::stoul(message.substr(length + 16)));
+    }
+    return message;
+  }
+  bool Ended() {  // the other side has closed; whatever comes first is dropped
+    char c;
+    ssize_t n;
+    while ((n = recv(fd_.get(), &c, 1, 0)) == 1) continue;
+    return n == 0 || errno == ECONNRESET;
+  }
+  void Close() { fd_ = Descriptor(); }
+
+ private:
+  Descriptor fd_;
+};
+
+// Something that listens: a server or discovery.
+class Peer {
+ public:
+  Peer() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in at = Loopback(0);
+    socklen_t length = sizeof at;
+    REQUIRE(bind(fd_.get(), reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+    REQUIRE(listen(fd_.get(), 64) == 0);
+    REQUIRE(getsockname(fd_.get(), reinterpret_cast<sockaddr*>(&at), &length) == 0);
+    port = ntohs(at.sin_port);
+  }
+  Link Accept() {
+    REQUIRE(Readable(fd_.get(), kPatience * 1000));
+    return Link(Descriptor(accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC)));
+  }
+  bool Called() const { return Readable(fd_.get(), 0); }  // a connection waits
+  void Close() { fd_ = Descriptor(); }
+  // The one of two that is called first.
+  static Peer& Called(Peer& a, Peer& b) {
+    std::array<pollfd, 2> both = {pollfd{a.fd_.get(), POLLIN, 0}, pollfd{b.fd_.get(), POLLIN, 0}};
+    REQUIRE(poll(both.data(), 2, kPatience * 1000) >= 1);
+    return both[0].revents != 0 ? a : b;
+  }
+  uint16_t port = 0;
+
+ private:
+  Descriptor fd_;
+};
+
+inline std::string Entry(const std::string& id, uint16_t port, const std::string& state = "Ready") {
+  return R"({"id":")" + id + R"(","addr":"127.0.0.1:)" + std::to_string(port) +
+         R"(","zone":"a","kind":"m","cell":1,"state":")" + state + R"(","weight":1.0,"started_ms":0})";
+}
+inline std::string List(int version, bool full, const std::string& entries) {
+  return R"({"version":)" + std::to_string(version) + R"(,"full":)" + (full ? "true" : "false") +
+         R"(,"servers":[)" + entries + "]}";
+}
+inline std::string Ok(const std::string& body, const std::string& more = "") {
+  return "HTTP/1.1 200 OK\r\n" + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+inline std::string Get(const std::string& trace, const std::string& more = "") {
+  return "GET /look?user=1 HTTP/1.1\r\nHost: s\r\nX-Trace-Id: " + trace + "\r\n" + more + "\r\n";
+}
+inline std::string Post(const std::string& path, const std::string& trace, const std::string& body) {
+  return "POST /" + path + " HTTP/1.1\r\nX-Trace-Id: " + trace +
+         "\r\nIdempotency-Key: k\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+struct Setup {
+  std::string known;
+  uint16_t discovery = 1;
+  int sockets = 1024;
+  int connect_timeout = 1000000;
+  int keepalive = 10000000;
+};
+
+// The class `look` is safe, `pay` is keyed and `open` is unsafe.
+inline std::string ConfigText(const Setup& setup) {
+  auto one = [](const std::string& name, const std::string& effect) {
+    return R"({"Name":")" + name + R"(","Effect":")" + effect +
+           R"(","Group":"all","DedupWindow":60000000,"Slo":8000000,"HardLimit":10000000,"Worth":1.0})";
+  };
+  return R"({"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:)" + std::to_string(setup.discovery) +
+         R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":)" +
+         std::to_string(setup.sockets) + R"(},"known":)" + List(1, true, setup.known) +
+         R"(,"settings":{"Balancers":1,"SlotNo":0,"MyZone":0,"Zones":["a"],"MachineTypes":["m"],"Categories":[)" +
+         one("look", "pure") + "," + one("pay", "token") + "," + one("open", "side_effect") +
+         R"(],"Realms":[],"MembershipMode":"subscribe","Caps":{"Cancel":true,"SendCap":5,"RetryAfter":true,)" +
+         R"("MaxRetryAfter":1500000,"ConnectTimeout":)" + std::to_string(setup.connect_timeout) +
+         R"(,"Keepalive":)" + std::to_string(setup.keepalive) +
+         R"(},"Rules":{"AnswerSlack":20000,"DrainGrace":750000,"MustAskIn":10000000}}})";
+}
+
+// The program, as its operators start it.
+class Program {
+ public:
+  explicit Program(const std::string& config, std::vector<std::string> words = {"serve"}) {
+    std::string path = "burlfall_test_" + std::to_string(getpid()) + ".json";
+    std::ofstream(path) << config;
+    int ends[2];
+    REQUIRE(pipe(ends) == 0);
+    pid_ = fork();
+    REQUIRE(pid_ >= 0);
+    if (pid_ == 0) {
+      dup2(ends[1], 1);
+      dup2(ends[1], 2);
+      close(ends[0]);
+      close(ends[1]);
+      setenv("PROXY_CONFIG", path.c_str(), 1);
+      std::vector<char*> args = {const_cast<char*>(BURLFALL)};
+      for (std::string& word : words) args.push_back(word.data());
+      args.push_back(nullptr);
+      execv(BURLFALL, args.data());
+      _exit(127);
+    }
+    close(ends[1]);
+    out_ = Descriptor(ends[0]);
+    output = Line();  // the configuration is read by now
+    std::remove(path.c_str());
+    size_t at = output.find("serves at 127.0.0.1:");
+    if (at != std::string::npos) port = static_cast<uint16_t>(std::stoul(output.substr(at + 20)));
+  }
+  Program(const Program&) = delete;
+  ~Program() {
+    if (pid_ > 0) Wait(SIGKILL);
+  }
+  void Signal(int signal) const { kill(pid_, signal); }
+  // Its exit code, or -1 where it crashed; `output` is then whole.
+  int Wait(int signal = 0) {
+    if (signal != 0) Signal(signal);
+    for (std::string line; !(line = Line()).empty();) output += line;
+    int status = 0;
+    waitpid(std::exchange(pid_, -1), &status, 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+  std::string Line() {
+    std::string line;
+    char c;
+    while (!line.ends_with('\n') && Readable(out_.get(), kPatience * 1000) && read(out_.get(), &c, 1) == 1) {
+      line += c;
+    }
+    return line;
+  }
+  uint16_t port = 0;
+  std::string output;
+
+ private:
+  pid_t pid_ = -1;
+  Descriptor out_;
+};
+
+}  // namespace burlfall
+
+#endif  // BURLFALL_TESTS_NET_PEERS_H_
--- /dev/null
+++ b/tests/net/stories_test.cpp
@@ -0,0 +1,303 @@
+// Stories of the network code: the program between scripted peers, one for each thing that must not go wrong.
+#define CATCH_CONFIG_MAIN
+#include "peers.h"
+
+namespace burlfall {
+
+TEST_CASE("a query goes through unchanged, and the server link serves the next one too") {
+  Peer server;
+  Program program(ConfigText({.known = Entry("s-1", server.port)}));
+  Link client = Link::To(program.port);
+  client.Write(
+      "POST /pay/now?user=7 HTTP/1.1\r\nHost: s\r\nX-Trace-Id: t1\r\nIdempotency-Key: k1\r\n"
+      "X-Expires-In: 9000m\r\nConnection: X-Mine\r\nX-Mine: 1\r\nContent-Length: 5\r\n\r\nhello");
+  Link link = server.Accept();
+  std::string query = link.Read();
+  CHECK(query.starts_with("POST /pay/now?user=7 HTTP/1.1\r\n"));
+  CHECK(query.find("X-Trace-Id: t1\r\n") != std::string::npos);
+  CHECK(query.find("Idempotency-Key: k1\r\n") != std::string::npos);
+  CHECK(query.find("X-Mine") == std::string::npos);
+  CHECK(query.ends_with("\r\n\r\nhello"));
+  size_t expires = query.find("X-Expires-In: ");
+  REQUIRE(expires != std::string::npos);
+  CHECK(std::stol(query.substr(expires + 14)) > 1000000);
+  CHECK(std::stol(query.substr(expires + 14)) <= 9000000);
+  link.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+  link.Write("2;x=y\r\nde\r\n0\r\nSum: 1\r\n\r\n");
+  CHECK(client.Read().ends_with("Content-Length: 5\r\n\r\nabcde"));
+  client.Write(Get("t2"));
+  CHECK(link.Read().find("X-Trace-Id: t2\r\n") != std::string::npos);
+  link.Write(Ok("second"));
+  CHECK(client.Read().ends_with("second"));
+  CHECK_FALSE(server.Called());
+}
+
+TEST_CASE("an unsafe query that was turned away or could not connect goes to another host") {
+  Peer one, two;
+  Program program(ConfigText({.known = Entry("s-1", one.port) + "," + Entry("s-2", two.port)}));
+  Link client = Link::To(program.port);
+  client.Write(Post("open", "t1", "x"));
+  Peer& a = Peer::Called(one, two);
+  Peer& b = &a == &one ? two : one;
+  Link link = a.Accept();
+  CHECK(link.Read().ends_with("x"));
+  link.Write("HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n");
+  Link next = b.Accept();
+  CHECK(next.Read().ends_with("x"));
+  next.Write(Ok("done", "Connection: close\r\n"));
+  CHECK(client.Read().ends_with("done"));
+  CHECK(next.Ended());
+  b.Close();  // what is sent there now is refused
+  link.Close();
+  for (int i = 0; i < 4; ++i) {
+    CAPTURE(i);
+    client.Write(Post("open", "u" + std::to_string(i), "y"));
+    Link again = a.Accept();
+    CHECK(again.Read().ends_with("y"));
+    again.Write(Ok("there", "Connection: close\r\n"));
+    CHECK(client.Read().ends_with("there"));
+  }
+}
+
+TEST_CASE("an unsafe query that may have run fails at once and is not sent again") {
+  Peer one, two;
+  Program program(ConfigText({.known = Entry("s-1", one.port) + "," + Entry("s-2", two.port)}));
+  for (const char* answer : {"", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 503 No\r\n\r\n",
+                             "nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n",
+                             "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort"}) {
+    Link client = Link::To(program.port);
+    client.Write(Post("open", "t", "x"));
+    Link link = Peer::Called(one, two).Accept();
+    CHECK(link.Read().ends_with("x"));
+    link.Write(answer);
+    link.Close();
+    CHECK(client.Read().starts_with("HTTP/1.1 502 "));
+    CHECK_FALSE(one.Called());
+    CHECK_FALSE(two.Called());
+  }
+}
+
+TEST_CASE("a query on a link that its server has closed meanwhile gets a fresh link") {
+  Peer server;
+  Program program(ConfigText({.known = Entry("s-1", server.port)}));
+  Link client = Link::To(program.port);
+  client.Write(Post("open", "t1", "x"));
+  Link link = server.Accept();
+  link.Read();
+  link.Write(Ok("one"));
+  CHECK(client.Read().ends_with("one"));
+  link.Close();
+  client.Write(Post("open", "t2", "y"));
+  Link fresh = server.Accept();
+  CHECK(fresh.Read().ends_with("y"));
+  fresh.Write(Ok("two"));
+  CHECK(client.Read().ends_with("two"));
+}
+
+TEST_CASE("an idle link is closed before its server would") {
+  Peer server;
+  Program program(ConfigText({.known = Entry("s-1", server.port), .keepalive = 1000000}));
+  Link client = Link::To(program.port);
+  client.Write(Get("t1"));
+  Link link = server.Accept();
+  link.Read();
+  link.Write(Ok("one"));
+  CHECK(client.Read().ends_with("one"));
+  CHECK(link.Ended());
+}
+
+TEST_CASE("when the client leaves, its attempt is abandoned and nothing else suffers") {
+  Peer server;
+  Program program(ConfigText({.known = Entry("s-1", server.port)}));
+  Link client = Link::To(program.port);
+  client.Write(Get("t1"));
+  Link link = server.Accept();
+  link.Read();
+  client.Close();
+  CHECK(link.Ended());
+  Link other = Link::To(program.port);
+  other.Write(Get("t2"));
+  Link next = server.Accept();
+  next.Read();
+  next.Write(Ok("still here"));
+  CHECK(other.Read().ends_with("still here"));
+}
+
+TEST_CASE("a silent server's query is answered at its give-up time, with word when to come back") {
+  Peer server;
+  Program program(ConfigText({.known = Entry("s-1", server.port)}));
+  Link client = Link::To(program.port);
+  auto began = std::chrono::steady_clock::now();
+  client.Write(Get("t1", "X-Expires-In: 1700m\r\n"));
+  Link link = server.Accept();
+  link.Read();
+  std::string answer = client.Read();
+  CHECK(answer.starts_with("HTTP/1.1 503 "));
+  CHECK(answer.find("Retry-After: 1.500\r\n") != std::string::npos);
+  CHECK(std::chrono::steady_clock::now() - began >= std::chrono::milliseconds(1690));
+  CHECK(link.Ended());
+  client.Write(Get("t2", "X-Expires-In: 0m\r\n"));  // nothing is left: throttled at once
+  CHECK(client.Read().starts_with("HTTP/1.1 503 "));
+}
+
+TEST_CASE("what comes while a query runs is the next query, and is not lost") {
+  Peer server;
+  Program program(ConfigText({.known = Entry("s-1", server.port)}));
+  Link client = Link::To(program.port);
+  client.Write(Get("t1"));
+  Link link = server.Accept();
+  link.Read();
+  std::string next = Get("t2");
+  client.Write(next.substr(0, 20));
+  link.Write(Ok("one"));
+  CHECK(client.Read().ends_with("one"));
+  client.Write(next.substr(20));
+  CHECK(link.Read().find("X-Trace-Id: t2\r\n") != std::string::npos);
+  link.Write(Ok("two"));
+  CHECK(client.Read().ends_with("two"));
+}
+
+TEST_CASE("bad queries get their status and hurt nobody") {
+  Peer server;
+  Program program(ConfigText({.known = Entry("s-1", server.port)}));
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"nonsense\r\n\r\n", "400"},
+      {"GET /look HTTP/2.0\r\n\r\n", "400"},
+      {"GET /look HTTP/1.1\r\nBad Name: 1\r\n\r\n", "400"},
+      {"GET look HTTP/1.1\r\n\r\n", "400"},
+      {"POST /open HTTP/1.1\r\nContent-Length: -1\r\n\r\n", "400"},
+      {"POST /open HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", "400"},
+      {"POST /open HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "400"},
+      {"POST /open HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "400"},
+      {"POST /open HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", "413"},
+      {"GET /" + std::string(20000, 'x'), "413"},
+      {"GET /look HTTP/1.1\r\n\r\n", "400"},   // no trace id
+      {"GET /other HTTP/1.1\r\n\r\n", "404"},  // nor a class
+      {"GET / HTTP/1.1\r\nX-Trace-Id: t\r\n\r\n", "404"},
+      {"GET /other HTTP/1.1\r\nX-Trace-Id: t\r\n\r\n", "502"},  // failed by the module
+      {"GET /up HTTP/1.1\r\n\r\n", "200"},
+      {"GET /counters HTTP/1.0\r\n\r\n", "200"},
+  };
+  for (const auto& [bytes, status] : cases) {
+    CAPTURE(bytes.substr(0, 60));
+    Link client = Link::To(program.port);
+    client.Write(bytes);
+    CHECK(client.Read().substr(9, 3) == status);
+  }
+  Link client = Link::To(program.port);  // odd headers mean what their absence does
+  client.Write(Get("t", "X-Expires-In: soon\r\nX-Customer: nobody\r\nX-Size-Hint: \xff\r\n"));
+  Link link = server.Accept();
+  link.Read();
+  link.Write(Ok("fine"));
+  CHECK(client.Read().ends_with("fine"));
+}
+
+TEST_CASE("the host group follows discovery through failures, and a drained host gets nothing new") {
+  Peer old, fresh, discovery;
+  Program program(ConfigText({.known = Entry("s-1", old.port), .discovery = discovery.port}));
+  {
+    Link call = discovery.Accept();  // without waiting for it, queries are served from the list that is known
+    CHECK(call.Read().starts_with("GET /discovery/hosts HTTP/1.1\r\n"));
+    Link client = Link::To(program.port);
+    client.Write(Get("t1"));
+    Link link = old.Accept();
+    link.Read();
+    link.Write(Ok("old"));
+    CHECK(client.Read().ends_with("old"));
+    call.Write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+  }
+  for (const char* bad : {"{\"version\":3", "[]", "{\"version\":3,\"full\":true,\"servers\":[{\"id\":5}]}"}) {
+    Link call = discovery.Accept();
+    CHECK(call.Read().starts_with("GET /discovery/hosts HTTP/1.1\r\n"));
+    call.Write(Ok(bad));
+  }
+  Link call = discovery.Accept();
+  call.Read();
+  call.Write(Ok(List(7, true, Entry("s-1", old.port) + "," + Entry("s-2", fresh.port))));
+  CHECK(call.Read().starts_with("GET /discovery/hosts?index=7&wait="));
+  call.Write(Ok(List(8, false, Entry("s-1", old.port, "Terminating"))));
+  CHECK(call.Read().starts_with("GET /discovery/hosts?index=8&wait="));  // so it has taken that in
+  for (int i = 0; i < 3; ++i) {
+    Link client = Link::To(program.port);
+    client.Write(Get("u" + std::to_string(i)));
+    Link link = fresh.Accept();
+    link.Read();
+    link.Write(Ok("new", "Connection: close\r\n"));
+    CHECK(client.Read().ends_with("new"));
+  }
+  CHECK_FALSE(old.Called());
+}
+
+TEST_CASE("idle client links make room for new ones, and descriptors never run out") {
+  Peer server;
+  Program program(ConfigText({.known = Entry("s-1", server.port), .sockets = 64}));
+  std::vector<Link> idle;
+  for (int i = 0; i < 100; ++i) idle.push_back(Link::To(program.port));
+  Link client = Link::To(program.port);
+  client.Write(Get("t1"));
+  Link link = server.Accept();
+  link.Read();
+  link.Write(Ok("served"));
+  CHECK(client.Read().ends_with("served"));
+  CHECK(idle.front().Ended());
+}
+
+TEST_CASE("after SIGTERM it goes on accepting, answers what it owes and exits") {
+  Peer server;
+  Program program(ConfigText({.known = Entry("s-1", server.port)}));
+  Link owed = Link::To(program.port);
+  owed.Write(Get("t1"));
+  Link link = server.Accept();
+  link.Read();
+  Link idle = Link::To(program.port);
+  program.Signal(SIGUSR1);
+  CHECK(program.Line().find("taken=1 sent=1") != std::string::npos);
+  program.Signal(SIGTERM);
+  std::string down;
+  while (down.find(" 503 ") == std::string::npos) {  // the signal has arrived
+    Link up = Link::To(program.port);
+    up.Write("GET /up HTTP/1.1\r\n\r\n");
+    down = up.Read();
+  }
+  Link late = Link::To(program.port);
+  late.Write(Get("t2"));
+  Link next = server.Accept();
+  next.Read();
+  next.Write(Ok("late"));
+  std::string answer = late.Read();
+  CHECK(answer.ends_with("late"));
+  CHECK(answer.find("Connection: close\r\n") != std::string::npos);
+  CHECK(late.Ended());
+  CHECK(idle.Ended());  // once it accepts no more
+  link.Write(Ok("owed"));
+  CHECK(owed.Read().ends_with("owed"));
+  CHECK(program.Wait() == 0);
+  CHECK(program.output.find("taken=2 sent=2 served=2") != std::string::npos);
+}
+
+TEST_CASE("a start that can't be is one plain line and a code, and nothing half started") {
+  const std::string good = ConfigText({.known = Entry("s-1", 1)});
+  std::vector<std::string> bad = {"", "{", "{}", "[1]"};
+  for (auto [from, to] : std::vector<std::pair<std::string, std::string>>{{"127.0.0.1:0", "here"},
+                                                                          {"8c1f30d27a5be964", "seed"},
+                                                                          {"\"pure\"", "\"other\""},
+                                                                          {"\"Ready\"", "\"Odd\""},
+                                                                          {"127.0.0.1:0", "192.0.2.1:9"}}) {
+    bad.push_back(good);
+    bad.back().replace(good.find(from), from.size(), to);
+  }
+  for (const std::string& config : bad) {
+    CAPTURE(config);
+    Program program(config);
+    CHECK(program.Wait() == 1);
+    CHECK(program.output.starts_with("burlfall: "));
+    CHECK(std::count(program.output.begin(), program.output.end(), '\n') == 1);
+  }
+  CHECK(Program(good, {"check-config"}).Wait() == 0);
+  CHECK(Program(good, {"version"}).Wait() == 0);
+  CHECK(Program(good, {"dance"}).Wait() == 2);
+  CHECK(Program(good, {"serve", "--fast"}).Wait() == 2);
+  CHECK(Program(good, {}).Wait() == 2);
+}
+
+}  // namespace burlfall
