Share one descriptor budget between client and server links, and keep to it in bursts

Now one budget, idle client links make room first, then idle server links; accepting pauses while links close; want of descriptors or ports is moot.

Also: a link that was idle is closed at once, so that a query that crosses the close stays unread and its client sends it again; a watch that is answered at once without news pauses 150 ms; Expect: 100-continue is answered. Stories cover the budget (never over 64 descriptors under 100 connections), interim answers and the expectation.

--- a/src/net/agent.cpp
+++ b/src/net/agent.cpp
@@ -45,8 +45,9 @@
 Agent::Agent(Scheduler& scheduler, const Config& config)
     : scheduler_(scheduler),
       config_(config),
-      most_clients_(LinkBudget(config) / 2),
-      server_links_(scheduler, config.settings, LinkBudget(config) - LinkBudget(config) / 2, counters_),
+      most_links_(LinkBudget(config)),
+      server_links_(
+          scheduler, config.settings, [this] { return MakeRoom(); }, counters_),
       hosts_(scheduler, config, server_links_,
              [this](const meadowslip::BackendList& list) {
                ++(list.kind == meadowslip::ListKind::kFailed ? counters_.lists_failed : counters_.lists);
@@ -184,17 +185,22 @@
   }
 }
 
-// False where connections are left for want of descriptors or memory.
+// False where connections are left waiting for want of descriptors or memory.
 bool Agent::AcceptWaiting() {
   while (true) {
+    // Room is made only as the links shed close. Guards the limit in a burst of connections: a process that
+    // holds more than it may is stopped.
+    if (clients_.size() + server_links_.open() >= most_links_ + kSpareDescriptors / 2) return false;
     Descriptor fd(accept4(listener_->fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (!fd && (errno == EAGAIN || errno == EWOULDBLOCK)) return true;
-    if (!fd && (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM)) {
-      ShedIdleLink();
+    if (!fd && (errno == EINTR || errno == ECONNABORTED || errno == EPROTO)) continue;  // it is gone already
+    if (!fd) {
+      MakeRoom();
       return false;
     }
-    if (!fd) continue;  // that connection is gone already
-    if (clients_.size() >= most_clients_) ShedIdleLink();
+    // Without room the link is taken all the same, while the spare descriptors last: its query is ours from
+    // the moment the machine has taken it, and waits no longer here than in the machine's backlog.
+    MakeRoom();
     ++counters_.client_links;
     clients_.push_back(std::make_unique<ClientLink>(scheduler_, std::move(fd), *this));
     clients_.back()->place = std::prev(clients_.end());
@@ -202,13 +208,16 @@
   }
 }
 
-// Closes the link that has been idle longest. Between queries that is allowed, and clients come back.
-void Agent::ShedIdleLink() {
+// Whether one more link fits the budget of descriptors. Where it is used up, the client link that has been
+// idle longest makes room, since clients come back at little cost, or else an idle server link.
+bool Agent::MakeRoom() {
+  if (clients_.size() + server_links_.open() < most_links_) return true;
   for (auto& link : clients_) {
     if (!link->idle()) continue;
     link->Leave();
-    return;
+    return true;
   }
+  return hosts_.ShedIdleLink();
 }
 
 void Agent::Busy(ClientLink& link) {
--- a/src/net/agent.h
+++ b/src/net/agent.h
@@ -87,7 +87,7 @@
   void FireTimers();
   void Bury();
   void MovePhase();
-  void ShedIdleLink();
+  bool MakeRoom();
   Query* Open(meadowslip::RequestId id);
   ClientLink* Close(meadowslip::RequestId id, Query& query);
   void Count(meadowslip::Outcome outcome);
@@ -97,7 +97,7 @@
   Counters counters_;
   Phase phase_ = Phase::kStarting;
   Micros phase_ends_ = kNever;
-  size_t most_clients_ = 0;
+  size_t most_links_ = 0;  // clients' and servers' together
   ServerLinks server_links_;
   HostGroup hosts_;
   std::optional<Socket> listener_;
--- a/src/net/client_link.cpp
+++ b/src/net/client_link.cpp
@@ -73,7 +73,9 @@
     if (!stays) break;
   }
   leaving_ = true;
-  co_await Linger();
+  // A link that was idle is closed at once: a query that crosses the close stays unread, and the client,
+  // whose link is reset, knows to send it again.
+  if (told_) co_await Linger();
   agent_.Retire(*this);
 }
 
@@ -85,7 +87,7 @@
     Parsed parsed = in_.empty() ? Parsed::kMore : parser_.Feed(in_);
     if (parsed == Parsed::kDone) co_return true;
     Io io = Io::kSome;
-    if (parsed == Parsed::kMore) {
+    if (parsed == Parsed::kMore && Continue()) {
       io = socket_.Read(in_);
       if (io == Io::kSome) continue;
       if (io != Io::kLater) co_return false;
@@ -102,6 +104,13 @@
   }
 }
 
+// A client that waits for leave to send the body gets it; false where it can't be told.
+bool ClientLink::Continue() {
+  if (!parser_.ExpectsContinue()) return true;
+  std::string_view leave = "HTTP/1.1 100 Continue\r\n\r\n";
+  return socket_.Write(leave) == Io::kSome;
+}
+
 // Answers one query; false where the link is to be closed.
 Task<bool> ClientLink::Handle() {
   HttpMessage message = parser_.Take();
@@ -198,6 +207,7 @@
     if (!notified && socket_.scheduler().Now() >= until) co_return false;
   }
   out_.clear();
+  told_ = last_;
   co_return true;
 }
 
--- a/src/net/client_link.h
+++ b/src/net/client_link.h
@@ -24,7 +24,7 @@
   void Throttle(Micros retry_after);
   void Fail();
 
-  bool idle() const { return !busy_ && !leaving_ && in_.empty() && !parser_.started(); }
+  bool idle() const { return !busy_ && !leave_ && !leaving_ && began_ == 0; }
   void Leave();  // closes as soon as it is idle
 
   std::list<std::unique_ptr<ClientLink>>::iterator place;  // among the agent's links
@@ -35,6 +35,7 @@
   Task<bool> Handle();
   Task<bool> WriteAnswer();
   Task<> Linger();
+  bool Continue();
   bool Listen();
   void Answer(int status, const std::string& headers, std::string_view body);
 
@@ -49,7 +50,8 @@
   bool last_ = false;  // the link closes after this answer
   bool leave_ = false;
   bool leaving_ = false;
-  Task<> task_;  // last: what it uses must outlive it
+  bool told_ = false;  // an error of ours, or the last answer: the client may not have read it yet
+  Task<> task_;        // last: what it uses must outlive it
 };
 
 }  // namespace burlfall
--- a/src/net/host_group.cpp
+++ b/src/net/host_group.cpp
@@ -18,6 +18,7 @@
 // gives no sign. The wait is half of the time within which the deployment wants to be asked.
 constexpr Micros kLongestWait = 20 * kSecond;
 constexpr Micros kAnswerPatience = 1500 * kMs;
+constexpr Micros kLeastPause = 150 * kMs;     // a watch goes on if the next call comes within 200 ms
 constexpr Micros kCallPatience = 2500 * kMs;  // for a call that does not wait: discovery handles them in turn
 
 // The same at every balancer and after every restart.
@@ -55,20 +56,34 @@
   for (auto& [id, host] : hosts_) links_.Retire(*host);
 }
 
+bool HostGroup::ShedIdleLink() {
+  Host* most = nullptr;
+  for (auto& [id, host] : hosts_) {
+    if (!host->idle.empty() && (most == nullptr || host->idle.size() > most->idle.size())) most = host.get();
+  }
+  if (most != nullptr) most->idle.erase(most->idle.begin());
+  return most != nullptr;
+}
+
 Task<> HostGroup::Watch() {
   const Micros wait = std::min(kLongestWait, std::max(kSecond, config_.settings.must_ask_within / 2));
   uint64_t version = 0;
   bool fresh = true;  // the first call of a watch asks for the whole list, which is answered at once
   while (true) {
     while (!subscribed_) co_await asked_.Wait();
+    const Micros called_at = scheduler_.Now();
     std::string path = platform::kHostsPath;
     if (!fresh) path += "?index=" + std::to_string(version) + "&wait=" + std::to_string(wait / kMs);
     std::optional<HostList> list =
         co_await Ask(std::move(path), fresh ? kCallPatience : wait + kAnswerPatience);
     if (list) {
       fresh = false;
+      bool news = version != list->version;
       version = list->version;
       told_(Take(*list));
+      // Guards discovery, which is shared and slow, against a watch that is answered at once with no news.
+      const Micros pause_ends = called_at + kLeastPause;
+      while (!news && scheduler_.Now() < pause_ends) co_await asked_.Wait(pause_ends);
     } else {
       fresh = true;
       link_.reset();
--- a/src/net/host_group.h
+++ b/src/net/host_group.h
@@ -24,6 +24,7 @@
   void Subscribe();  // watches from now on, until a call fails
   Host* Find(meadowslip::BackendId id);
   void RetireLinks();
+  bool ShedIdleLink();  // closes one that nothing runs on; false where there is none
 
  private:
   Task<> Watch();
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -137,6 +137,8 @@
   return Parsed::kDone;
 }
 
+bool HttpParser::ExpectsContinue() { return std::exchange(expects_, false); }
+
 HttpMessage HttpParser::Take() {
   part_ = Part::kHead;
   scanned_ = left_ = trailer_ = 0;
@@ -186,6 +188,8 @@
   const std::string* connection = message_.Find("Connection");
   std::string_view words = connection != nullptr ? std::string_view(*connection) : std::string_view();
   message_.keep_alive = http_1_0_ ? HasWord(words, "keep-alive") : !HasWord(words, "close");
+  const std::string* expect = message_.Find("Expect");
+  expects_ = kind_ == Kind::kRequest && expect != nullptr && SameName(*expect, "100-continue");
   const std::string* coding = message_.Find("Transfer-Encoding");
   const std::string* length = message_.Find("Content-Length");
   bool twice = std::any_of(message_.headers.begin(), message_.headers.end(), [&](const Header& h) {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -39,7 +39,8 @@
 
   Parsed Feed(std::string& buffer);
   Parsed Closed();  // the peer has ended its sending: what it means for the message at hand
-  bool started() const { return part_ != Part::kHead; }
+  bool
+  ExpectsContinue();   // true once, where the body is outstanding and the sender waits for leave to send it
   HttpMessage Take();  // after kDone; the parser is then at the next message
 
  private:
@@ -56,6 +57,7 @@
   size_t left_ = 0;     // of the body or the chunk
   size_t trailer_ = 0;
   bool http_1_0_ = false;
+  bool expects_ = false;
   HttpMessage message_;
 };
 
--- a/src/net/server_link.cpp
+++ b/src/net/server_link.cpp
@@ -47,7 +47,11 @@
   if (!fd) return fd;
   int on = 1;
   setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  if (connect(fd.get(), to.get(), to.length) != 0 && errno != EINPROGRESS) return Descriptor();
+  if (connect(fd.get(), to.get(), to.length) != 0 && errno != EINPROGRESS) {
+    int why = errno;
+    fd = Descriptor();
+    errno = why;
+  }
   return fd;
 }
 
@@ -71,12 +75,12 @@
 
 ServerLink::~ServerLink() { --links_.open_; }
 
-ServerLinks::ServerLinks(Scheduler& scheduler, const meadowslip::Settings& settings, size_t most,
+ServerLinks::ServerLinks(Scheduler& scheduler, const meadowslip::Settings& settings, Room room,
                          Counters& counters)
     : scheduler_(scheduler),
       keep_for_(static_cast<Micros>(static_cast<double>(settings.keepalive) * kKeepShare)),
       connect_timeout_(settings.connect_timeout),
-      most_(most),
+      room_(std::move(room)),
       counters_(counters) {}
 
 Task<ServerAnswer> ServerLinks::Exchange(Host& host, const HttpMessage& query, Micros until) {
@@ -85,10 +89,16 @@
   ServerAnswer answer;
   std::unique_ptr<ServerLink> link = Reuse(host);
   if (!link) {
-    if (open_ >= most_) co_return answer;  // moot: the host is not at fault
-    link = Open(host);
+    if (!room_()) co_return answer;  // moot: the host is not at fault
+    Descriptor fd = OpenConnection(host.address);
+    // Nor is it where this process has no descriptor or port left: that must not put a good host to sleep.
+    bool ours = !fd && (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM ||
+                        errno == EADDRNOTAVAIL);
+    if (ours) co_return answer;
     answer.outcome = Outcome::kConnectFailed;
-    if (!link) co_return answer;
+    if (!fd) co_return answer;
+    ++counters_.server_links;
+    link = std::make_unique<ServerLink>(*this, std::move(fd), host.era);
     Micros comes_up_by = scheduler_.Now() + connect_timeout_;
     bool connected = co_await Connected(*link, std::min(until, comes_up_by));
     if (!connected) {
@@ -144,13 +154,6 @@
   return nullptr;
 }
 
-std::unique_ptr<ServerLink> ServerLinks::Open(const Host& host) {
-  Descriptor fd = OpenConnection(host.address);
-  if (!fd) return nullptr;
-  ++counters_.server_links;
-  return std::make_unique<ServerLink>(*this, std::move(fd), host.era);
-}
-
 void ServerLinks::Keep(Host& host, std::unique_ptr<ServerLink> link) {
   if (host.state != BackendState::kReady || link->era_ != host.era) return;
   link->idle_since_ = scheduler_.Now();
--- a/src/net/server_link.h
+++ b/src/net/server_link.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -16,7 +17,7 @@
 
 namespace burlfall {
 
-// A connection that is being made; an invalid descriptor where that failed at once.
+// A connection that is being made; an invalid descriptor where that failed at once, and errno says why.
 Descriptor OpenConnection(const Address& to);
 Task<bool> Connected(Socket& socket, Micros until);
 
@@ -52,7 +53,9 @@
 
 class ServerLinks {
  public:
-  ServerLinks(Scheduler& scheduler, const meadowslip::Settings& settings, size_t most, Counters& counters);
+  // `room` says whether one more link may be opened, and makes room for it where it can.
+  using Room = std::function<bool()>;
+  ServerLinks(Scheduler& scheduler, const meadowslip::Settings& settings, Room room, Counters& counters);
 
   // Sends the query to the host and waits for the answer until then. Never sends it a second time.
   Task<ServerAnswer> Exchange(Host& host, const HttpMessage& query, Micros until);
@@ -64,13 +67,12 @@
  private:
   friend class ServerLink;
   std::unique_ptr<ServerLink> Reuse(Host& host);
-  std::unique_ptr<ServerLink> Open(const Host& host);
   void Keep(Host& host, std::unique_ptr<ServerLink> link);
 
   Scheduler& scheduler_;
   Micros keep_for_;
   Micros connect_timeout_;
-  size_t most_;
+  Room room_;
   size_t open_ = 0;
   Counters& counters_;
 };
--- a/tests/net/peers.h
+++ b/tests/net/peers.h
@@ -16,6 +16,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <cstdio>
+#include <filesystem>
 #include <fstream>
 #include <map>
 #include <string>
@@ -189,6 +190,10 @@
     if (pid_ > 0) Wait(SIGKILL);
   }
   void Signal(int signal) const { kill(pid_, signal); }
+  long Descriptors() const {
+    std::filesystem::directory_iterator all("/proc/" + std::to_string(pid_) + "/fd");
+    return std::distance(begin(all), end(all));
+  }
   // Its exit code, or -1 where it crashed; `output` is then whole.
   int Wait(int signal = 0) {
     if (signal != 0) Signal(signal);
--- a/tests/net/stories_test.cpp
+++ b/tests/net/stories_test.cpp
@@ -25,9 +25,11 @@
   link.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
   link.Write("2;x=y\r\nde\r\n0\r\nSum: 1\r\n\r\n");
   CHECK(client.Read().ends_with("Content-Length: 5\r\n\r\nabcde"));
-  client.Write(Get("t2"));
-  CHECK(link.Read().find("X-Trace-Id: t2\r\n") != std::string::npos);
-  link.Write(Ok("second"));
+  client.Write("POST /open HTTP/1.1\r\nX-Trace-Id: t2\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n");
+  CHECK(client.Read().starts_with("HTTP/1.1 100 "));
+  client.Write("more");
+  CHECK(link.Read().ends_with("\r\n\r\nmore"));
+  link.Write("HTTP/1.1 102 Wait\r\n\r\n" + Ok("second"));
   CHECK(client.Read().ends_with("second"));
   CHECK_FALSE(server.Called());
 }
@@ -232,7 +234,10 @@
   Peer server;
   Program program(ConfigText({.known = Entry("s-1", server.port), .sockets = 64}));
   std::vector<Link> idle;
-  for (int i = 0; i < 100; ++i) idle.push_back(Link::To(program.port));
+  for (int i = 0; i < 100; ++i) {
+    idle.push_back(Link::To(program.port));
+    CHECK(program.Descriptors() <= 64);
+  }
   Link client = Link::To(program.port);
   client.Write(Get("t1"));
   Link link = server.Accept();
