Tell clients to close when descriptors run short, and shed only links idle for a second

A trace of how links end showed 135 links shed; 2 had never had a query, one of them at the very moment of the first loss. At fault were MakeRoom in agent.cpp and idle() in client_link.h: a link just accepted counted as idle, and the order of links went by when a query began, so that one that had just answered could be the first to go. Both have a client about to write.

Now an answer says Connection: close where three quarters of the descriptors are in use, the order goes by when links answered, and only a link idle for 1 s is shed. While closing after SIGTERM a link must have been idle for 0.2 s.

A story tells of the fresh link; it fails on the code before this change.

--- a/src/net/agent.cpp
+++ b/src/net/agent.cpp
@@ -18,8 +18,11 @@
 // After the word to end, connections still come for some time; they would be refused without a listener.
 constexpr Micros kDrainFor = 800 * kMs;
 constexpr Micros kCloseFor = 300 * kMs;  // for links that owe nothing
+constexpr Micros kCloseStep = 20 * kMs;
+constexpr Micros kIdleForClosing = 200 * kMs;
 constexpr Micros kSweepEvery = 500 * kMs;
 constexpr Micros kAcceptPause = 10 * kMs;
+constexpr Micros kIdleForShedding = 1 * kSecond;
 constexpr size_t kSpareDescriptors = 32;  // the listener, epoll, discovery, the standard streams, and some
 
 size_t LinkBudget(const Config& config) {
@@ -95,7 +98,12 @@
     accept_ = Task<>();
     AcceptWaiting();  // what has connected before the listener closes is served too
     listener_.reset();
-    for (auto& link : clients_) link->Leave();
+  }
+  if (phase_ == Phase::kClosing) {
+    // One accepted a moment ago may have its first query on the way: it would be lost.
+    for (auto& link : clients_) {
+      if (link->IdleSince(now - kIdleForClosing)) link->Leave();
+    }
   }
   if (phase_ == Phase::kClosing && owed_ == 0 && (clients_.empty() || now >= phase_ends_)) {
     phase_ = Phase::kStopped;
@@ -116,8 +124,8 @@
     Bury();
     MovePhase();
     wakes_at_ = timers_.empty() ? kNever : timers_.top().at;
-    bool due = phase_ == Phase::kDraining || (phase_ == Phase::kClosing && owed_ == 0);
-    if (due) wakes_at_ = std::min(wakes_at_, phase_ends_);
+    if (phase_ == Phase::kDraining) wakes_at_ = std::min(wakes_at_, phase_ends_);
+    if (phase_ == Phase::kClosing) wakes_at_ = std::min(wakes_at_, scheduler_.Now() + kCloseStep);
     co_await turn_.Wait(wakes_at_);
   }
 }
@@ -190,7 +198,10 @@
   while (true) {
     // Room is made only as the links shed close. Guards the limit in a burst of connections: a process that
     // holds more than it may is stopped.
-    if (clients_.size() + server_links_.open() >= most_links_ + kSpareDescriptors / 2) return false;
+    if (links() >= most_links_ + kSpareDescriptors / 2) {
+      MakeRoom();
+      return false;
+    }
     Descriptor fd(accept4(listener_->fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (!fd && (errno == EAGAIN || errno == EWOULDBLOCK)) return true;
     if (!fd && (errno == EINTR || errno == ECONNABORTED || errno == EPROTO)) continue;  // it is gone already
@@ -209,23 +220,23 @@
 }
 
 // Whether one more link fits the budget of descriptors. Where it is used up, the client link that has been
-// idle longest makes room, since clients come back at little cost, or else an idle server link.
+// idle longest makes room, since clients come back at little cost, or else an idle server link. A client link
+// that was busy, or was accepted, a moment ago is no idle one: its next query may be on its way, and is lost
+// if the link closes now.
 bool Agent::MakeRoom() {
-  if (clients_.size() + server_links_.open() < most_links_) return true;
+  if (links() < most_links_) return true;
   for (auto& link : clients_) {
-    if (!link->idle()) continue;
+    if (!link->IdleSince(scheduler_.Now() - kIdleForShedding)) continue;
     link->Leave();
     return true;
   }
   return hosts_.ShedIdleLink();
 }
 
-void Agent::Busy(ClientLink& link) {
-  ++owed_;
-  clients_.splice(clients_.end(), clients_, link.place);
-}
+void Agent::Busy() { ++owed_; }
 
-void Agent::Free(ClientLink&) {
+void Agent::Free(ClientLink& link) {
+  clients_.splice(clients_.end(), clients_, link.place);
   if (--owed_ == 0 && phase_ == Phase::kClosing) turn_.Notify();
 }
 
--- a/src/net/agent.h
+++ b/src/net/agent.h
@@ -47,9 +47,10 @@
   Counters& counters() { return counters_; }
   bool up() const { return phase_ == Phase::kServing; }
   bool draining() const { return phase_ > Phase::kServing; }
+  bool tight() const { return links() >= most_links_ * 3 / 4; }  // descriptors run short
   meadowslip::RequestId Take(Query query);
   void Left(meadowslip::RequestId id);
-  void Busy(ClientLink& link);
+  void Busy();
   void Free(ClientLink& link);
   void Retire(ClientLink& link);
 
@@ -88,6 +89,7 @@
   void Bury();
   void MovePhase();
   bool MakeRoom();
+  size_t links() const { return clients_.size() + server_links_.open(); }
   Query* Open(meadowslip::RequestId id);
   ClientLink* Close(meadowslip::RequestId id, Query& query);
   void Count(meadowslip::Outcome outcome);
@@ -113,7 +115,7 @@
   std::vector<ClientLink*> retired_;
   meadowslip::Balancer balancer_;
   std::unordered_map<meadowslip::RequestId, Query> queries_;
-  std::list<std::unique_ptr<ClientLink>> clients_;  // the one that was busy least lately first
+  std::list<std::unique_ptr<ClientLink>> clients_;  // the one that answered least lately first
   Task<> accept_;                                   // the tasks last: what they use must outlive them
   Task<> sweeper_;
   Task<> turns_;
--- a/src/net/client_link.cpp
+++ b/src/net/client_link.cpp
@@ -52,6 +52,7 @@
 }
 
 void ClientLink::Start() {
+  idle_since_ = socket_.scheduler().Now();
   task_ = Run();
   task_.Start();
 }
@@ -66,16 +67,18 @@
     bool whole = co_await ReadQuery();
     if (!whole) break;
     busy_ = true;
-    agent_.Busy(*this);
+    agent_.Busy();
     bool stays = co_await Handle();
     busy_ = false;
+    idle_since_ = socket_.scheduler().Now();
     agent_.Free(*this);
     if (!stays) break;
   }
   leaving_ = true;
-  // A link that was idle is closed at once: a query that crosses the close stays unread, and the client,
-  // whose link is reset, knows to send it again.
   if (told_) co_await Linger();
+  // Here and now, not when the agent buries this link: an idle link was read empty a moment ago, and a query
+  // that comes between that and the close is lost. Guards against the turn that once lay between the two.
+  socket_.Close();
   agent_.Retire(*this);
 }
 
@@ -187,7 +190,9 @@
 void ClientLink::Fail() { Answer(502, "", ""); }
 
 void ClientLink::Answer(int status, const std::string& headers, std::string_view body) {
-  last_ = last_ || agent_.draining();
+  // Where descriptors run short the client is told with its answer. Guards the query that would cross the
+  // close of a link that looked idle: it is lost.
+  last_ = last_ || leave_ || agent_.draining() || agent_.tight();
   out_ = "HTTP/1.1 " + std::to_string(status) + " ";
   out_.append(Reason(status)).append("\r\n").append(headers);
   AppendHeader(out_, "Content-Length", std::to_string(body.size()));
--- a/src/net/client_link.h
+++ b/src/net/client_link.h
@@ -24,7 +24,10 @@
   void Throttle(Micros retry_after);
   void Fail();
 
-  bool idle() const { return !busy_ && !leave_ && !leaving_ && began_ == 0; }
+  // Open, with no query at hand since then or before.
+  bool IdleSince(Micros then) const {
+    return !busy_ && !leave_ && !leaving_ && began_ == 0 && idle_since_ <= then;
+  }
   void Leave();  // closes as soon as it is idle
 
   std::list<std::unique_ptr<ClientLink>>::iterator place;  // among the agent's links
@@ -45,6 +48,7 @@
   std::string in_;
   std::string out_;
   Micros began_ = 0;  // when the first bytes of the query came
+  Micros idle_since_ = 0;
   bool busy_ = false;
   bool answered_ = false;
   bool last_ = false;  // the link closes after this answer
--- a/src/net/scheduler.h
+++ b/src/net/scheduler.h
@@ -206,6 +206,7 @@
   Io Read(std::string& into);         // appends what has come, up to a bounded piece
   Io Write(std::string_view& bytes);  // takes off the front what was accepted
   bool Quiet() const;                 // open, and nothing has come unasked
+  void Close() { fd_ = Descriptor(); }
 
  private:
   Descriptor fd_;
--- a/tests/net/stories_test.cpp
+++ b/tests/net/stories_test.cpp
@@ -247,6 +247,22 @@
   CHECK(idle.front().Ended());
 }
 
+TEST_CASE("where descriptors run short clients are told, and a link just accepted is not shed for the next") {
+  Peer server;
+  Program program(ConfigText({.known = Entry("s-1", server.port), .sockets = 64}));
+  std::vector<Link> busy;
+  for (int i = 0; i < 40; ++i) {
+    busy.push_back(Link::To(program.port));
+    busy.back().Write(Get(std::to_string(i)));
+  }
+  Link fresh = Link::To(program.port);
+  Link next = Link::To(program.port);
+  next.Write("GET /up HTTP/1.1\r\n\r\n");
+  CHECK(next.Read().find("Connection: close\r\n") != std::string::npos);
+  fresh.Write(Get("t", "X-Expires-In: 0m\r\n"));
+  CHECK(fresh.Read().starts_with("HTTP/1.1 503 "));
+}
+
 TEST_CASE("after SIGTERM it goes on accepting, answers what it owes and exits") {
   Peer server;
   Program program(ConfigText({.known = Entry("s-1", server.port)}));
