--- a/tests/net/stories_test.cpp
+++ b/tests/net/stories_test.cpp
@@ -1,6 +1,8 @@
 // Stories of the network code: the program between scripted peers, one for each thing that must not go wrong.
 #define CATCH_CONFIG_MAIN
+#include "net/config.h"
 #include "peers.h"
+#include "wire.h"
 
 namespace burlfall {
 
@@ -296,6 +298,23 @@
   CHECK(program.output.find("taken=2 sent=2 served=2") != std::string::npos);
 }
 
+TEST_CASE("nested settings read as the simulator's lines do, names and network figures included") {
+  const std::string lines = FlattenSettings(
+      R"({"Zones":["a","b c"],"Report":{"Columns":[]},"Categories":[{"Name":"x,y","Slo":300000}],)"
+      R"("Caps":{"Cancel":true,"Keepalive":5000000,"ConnectTimeout":90000,"OpenCap":7},)"
+      R"("Odd":null,"P":0.025})");
+  CHECK(lines ==
+        "Zones=a,b_c\nReport.Columns=\nCategories.0.Name=x_y\nCategories.0.Slo=300000\nCategories.count=1\n"
+        "Caps.Cancel=true\nCaps.Keepalive=5000000\nCaps.ConnectTimeout=90000\nCaps.OpenCap=7\nP=0.025\n");
+  const meadowslip::Settings settings = meadowslip::wire::ParseSettings(lines);
+  CHECK(settings.zones == std::vector<std::string>{"a", "b_c"});
+  CHECK(settings.classes.at(0).name == "x_y");
+  CHECK(settings.classes.at(0).aim == 300000);
+  CHECK(settings.keepalive == 5000000);
+  CHECK(settings.connect_timeout == 90000);
+  CHECK(settings.open_cap == 7);
+}
+
 TEST_CASE("a start that can't be is one plain line and a code, and nothing half started") {
   const std::string good = ConfigText({.known = Entry("s-1", 1)});
   std::vector<std::string> bad = {"", "{", "{}", "[1]"};
