On SIGHUP, read the configuration anew and move the watch to its discovery

SIGHUP was not among the signals that src/main.cpp blocks and hears, so its default ended the program.

Checked: the start variables also name a discovery, the old one, so the file must go before them here (a story sets the variable). A held watch on the old address would tell nothing more until it is closed, 1.5 s later; the module would not ask, since it believes it is subscribed. So HostGroup::Restart ends that call and asks the new address for the whole list at once. A file that can't be used leaves all as it was, in one line. Settings keep: the module is built on them; a line says so where they differ. Signals are blocked before the configuration is read, so that one that comes early waits.

--- a/include/meadowslip/balancer.h
+++ b/include/meadowslip/balancer.h
@@ -28,12 +28,16 @@
   double late_share = 0;  // part of the worth that a late answer still earns
   bool stream = false;
   std::string name = {};
+
+  bool operator==(const RequestClass&) const = default;
 };
 
 struct Tenant {
   double quota_per_s = 0;  // over all nodes; 0: unlimited
   double share = 0;
   std::string name = {};
+
+  bool operator==(const Tenant&) const = default;
 };
 
 enum class LoadField { kOther, kInFlight, kQueue, kUtilisation, kLatencyMs };
@@ -76,6 +80,8 @@
   Micros keepalive = 10000000;      // a backend closes a connection that was idle this long
   Micros connect_timeout = 150000;  // a connection that does not come up in this time never will
   int open_cap = 20000;             // requests held open
+
+  bool operator==(const Settings&) const = default;
 };
 
 enum class BackendState { kGone, kReady, kDraining };
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,11 +11,13 @@
 #include <iostream>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <system_error>
 #include <vector>
 
 #include "net/agent.h"
 #include "net/config.h"
+#include "net/platform.h"
 #include "net/scheduler.h"
 
 namespace {
@@ -33,20 +35,38 @@
     "  help           prints this\n"
     "\n"
     "serve and check-config read the file that PROXY_CONFIG names; PROXY_NAME, PROXY_LISTEN and\n"
-    "PROXY_DISCOVERY go before what it says. SIGUSR1 prints the counters of a balancer that runs.\n";
+    "PROXY_DISCOVERY go before what it says. A balancer that runs prints its counters on SIGUSR1, and reads\n"
+    "the file anew on SIGHUP.\n";
 
 void PrintCounters(const Agent& agent, Counters& counters) {
   std::cerr << "burlfall: counters: " << counters.Text() << " phase=" << static_cast<int>(agent.phase())
             << "\n";
 }
 
-// SIGTERM and SIGINT end the program in order, SIGUSR1 prints the counters.
+// A file that can't be used leaves what was read before in force. The variables don't go before it any more:
+// they are those of the start.
+void Reload(Agent& agent) {
+  try {
+    bool all = agent.Reload(LoadConfig([](const char* name) -> const char* {
+      return std::string_view(name) == platform::kConfigVariable ? std::getenv(name) : nullptr;
+    }));
+    std::cerr << "burlfall: configuration read anew"
+              << (all ? "\n" : "; name, listen and settings change with the next start only\n");
+  } catch (const std::exception& e) {
+    std::cerr << "burlfall: configuration kept as it was: " << e.what() << "\n";
+  }
+}
+
+// SIGTERM and SIGINT end the program in order, SIGUSR1 prints the counters, SIGHUP has the configuration
+// read.
 Task<> HearSignals(Socket& signals, Agent& agent) {
   while (true) {
     signalfd_siginfo info;
     while (read(signals.fd(), &info, sizeof info) == static_cast<ssize_t>(sizeof info)) {
       if (info.ssi_signo == SIGUSR1) {
         PrintCounters(agent, agent.counters());
+      } else if (info.ssi_signo == SIGHUP) {
+        Reload(agent);
       } else {
         agent.Drain();
       }
@@ -56,12 +76,13 @@
 }
 
 int Serve() {
-  Config config = LoadConfig([](const char* name) -> const char* { return std::getenv(name); });
+  // Before all else: a signal that comes while the program starts must wait, not end it.
   sigset_t set;
   sigemptyset(&set);
-  for (int signal : {SIGTERM, SIGINT, SIGUSR1}) sigaddset(&set, signal);
+  for (int signal : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) sigaddset(&set, signal);
   sigprocmask(SIG_BLOCK, &set, nullptr);
   signal(SIGPIPE, SIG_IGN);
+  Config config = LoadConfig([](const char* name) -> const char* { return std::getenv(name); });
   Scheduler scheduler;
   Agent agent(scheduler, config);
   Socket signals(scheduler, Descriptor(signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC)));
--- a/src/net/agent.cpp
+++ b/src/net/agent.cpp
@@ -45,21 +45,21 @@
 
 }  // namespace
 
-Agent::Agent(Scheduler& scheduler, const Config& config)
+Agent::Agent(Scheduler& scheduler, Config config)
     : scheduler_(scheduler),
-      config_(config),
-      most_links_(LinkBudget(config)),
+      config_(std::move(config)),
+      most_links_(LinkBudget(config_)),
       server_links_(
-          scheduler, config.settings, [this] { return MakeRoom(); }, counters_),
-      hosts_(scheduler, config, server_links_,
+          scheduler, config_.settings, [this] { return MakeRoom(); }, counters_),
+      hosts_(scheduler, config_, server_links_,
              [this](const meadowslip::BackendList& list) {
                ++(list.kind == meadowslip::ListKind::kFailed ? counters_.lists_failed : counters_.lists);
                balancer_.OnList(scheduler_.Now(), list, *this);
              }),
       turn_(scheduler),
       sweep_(scheduler),
-      balancer_(config.settings, config.seed) {
-  listener_.emplace(scheduler, Listen(config.listen));
+      balancer_(config_.settings, config_.seed) {
+  listener_.emplace(scheduler, Listen(config_.listen));
 }
 
 uint16_t Agent::port() const {
@@ -90,6 +90,16 @@
   turn_.Notify();
 }
 
+bool Agent::Reload(Config config) {
+  const bool same = config.settings == config_.settings && config.listen.text == config_.listen.text &&
+                    config.name == config_.name;
+  config_.discovery = config.discovery;
+  config_.sockets = config.sockets;
+  most_links_ = LinkBudget(config_);
+  hosts_.Restart();
+  return same;
+}
+
 void Agent::MovePhase() {
   Micros now = scheduler_.Now();
   if (phase_ == Phase::kDraining && now >= phase_ends_) {
--- a/src/net/agent.h
+++ b/src/net/agent.h
@@ -35,10 +35,13 @@
 class Agent : public meadowslip::ActionSink {
  public:
   // Binds the address; throws std::system_error where that can't be done.
-  Agent(Scheduler& scheduler, const Config& config);
+  Agent(Scheduler& scheduler, Config config);
 
   void Start();
   void Drain();  // ends, in order
+  // Takes up a configuration read anew: where discovery is, and the descriptors it allows. The rest holds
+  // until the next start; false where it differs.
+  bool Reload(Config config);
   Phase phase() const { return phase_; }
   uint16_t port() const;
 
@@ -95,7 +98,7 @@
   void Count(meadowslip::Outcome outcome);
 
   Scheduler& scheduler_;
-  const Config& config_;
+  Config config_;
   Counters counters_;
   Phase phase_ = Phase::kStarting;
   Micros phase_ends_ = kNever;
--- a/src/net/host_group.cpp
+++ b/src/net/host_group.cpp
@@ -47,6 +47,16 @@
   asked_.Notify();
 }
 
+// Ends the call at hand, which may wait for long yet. Guards the drain rule: word of a drain comes from the
+// new place alone, and the module believes that it is told of all, so it would not ask.
+void HostGroup::Restart() {
+  watch_ = Task<>();
+  link_.reset();
+  subscribed_ = true;
+  watch_ = Watch();
+  watch_.Start();
+}
+
 Host* HostGroup::Find(meadowslip::BackendId id) {
   auto it = hosts_.find(id);
   return it == hosts_.end() ? nullptr : it->second.get();
--- a/src/net/host_group.h
+++ b/src/net/host_group.h
@@ -22,6 +22,7 @@
 
   void Start();      // hands on the list that is known, and is ready to watch
   void Subscribe();  // watches from now on, until a call fails
+  void Restart();    // a new watch at once, where the configuration now says that discovery is
   Host* Find(meadowslip::BackendId id);
   void RetireLinks();
   bool ShedIdleLink();  // closes one that nothing runs on; false where there is none
--- a/tests/net/peers.h
+++ b/tests/net/peers.h
@@ -159,9 +159,9 @@
 // The program, as its operators start it.
 class Program {
  public:
-  explicit Program(const std::string& config, std::vector<std::string> words = {"serve"}) {
-    std::string path = "burlfall_test_" + std::to_string(getpid()) + ".json";
-    std::ofstream(path) << config;
+  explicit Program(const std::string& config, std::vector<std::string> words = {"serve"},
+                   const char* discovery = nullptr) {
+    Configure(config);
     int ends[2];
     REQUIRE(pipe(ends) == 0);
     pid_ = fork();
@@ -171,7 +171,8 @@
       dup2(ends[1], 2);
       close(ends[0]);
       close(ends[1]);
-      setenv("PROXY_CONFIG", path.c_str(), 1);
+      setenv("PROXY_CONFIG", path_.c_str(), 1);
+      if (discovery) setenv("PROXY_DISCOVERY", discovery, 1);
       std::vector<char*> args = {const_cast<char*>(BURLFALL)};
       for (std::string& word : words) args.push_back(word.data());
       args.push_back(nullptr);
@@ -180,15 +181,16 @@
     }
     close(ends[1]);
     out_ = Descriptor(ends[0]);
-    output = Line();  // the configuration is read by now
-    std::remove(path.c_str());
+    output = Line();
     size_t at = output.find("serves at 127.0.0.1:");
     if (at != std::string::npos) port = static_cast<uint16_t>(std::stoul(output.substr(at + 20)));
   }
   Program(const Program&) = delete;
   ~Program() {
     if (pid_ > 0) Wait(SIGKILL);
+    std::remove(path_.c_str());
   }
+  void Configure(const std::string& config) const { std::ofstream(path_) << config; }
   void Signal(int signal) const { kill(pid_, signal); }
   long Descriptors() const {
     std::filesystem::directory_iterator all("/proc/" + std::to_string(pid_) + "/fd");
@@ -214,6 +216,7 @@
   std::string output;
 
  private:
+  std::string path_ = "burlfall_test_" + std::to_string(getpid()) + ".json";
   pid_t pid_ = -1;
   Descriptor out_;
 };
--- a/tests/net/stories_test.cpp
+++ b/tests/net/stories_test.cpp
@@ -298,6 +298,47 @@
   CHECK(program.output.find("taken=2 sent=2 served=2") != std::string::npos);
 }
 
+TEST_CASE("on SIGHUP the watch moves to the discovery that the file now names, and no query is dropped") {
+  Peer server, fresh, old, next;
+  const Setup first{.known = Entry("s-1", server.port), .discovery = old.port};
+  std::string variable = "127.0.0.1:" + std::to_string(old.port);
+  Program program(ConfigText(first), {"serve"}, variable.c_str());
+  Link call = old.Accept();
+  call.Read();
+  call.Write(Ok(List(7, true, Entry("s-1", server.port))));
+  CHECK(call.Read().starts_with("GET /discovery/hosts?index=7&wait="));  // held
+  Link owed = Link::To(program.port);
+  owed.Write(Get("t1"));
+  Link link = server.Accept();
+  link.Read();
+  program.Configure("{");
+  program.Signal(SIGHUP);
+  CHECK(program.Line().starts_with("burlfall: configuration kept as it was: "));
+  Setup second = first;
+  second.discovery = next.port;
+  program.Configure(ConfigText(second));
+  program.Signal(SIGHUP);
+  CHECK(program.Line() == "burlfall: configuration read anew\n");
+  Link moved = next.Accept();
+  CHECK(call.Ended());
+  CHECK(
+      moved.Read().starts_with("GET /discovery/hosts HTTP/1.1\r\n"));  // versions may differ: the whole list
+  moved.Write(Ok(List(2, true, Entry("s-2", fresh.port))));
+  CHECK(moved.Read().starts_with("GET /discovery/hosts?index=2&wait="));
+  link.Write(Ok("owed"));
+  CHECK(owed.Read().ends_with("owed"));
+  owed.Write(Get("t2"));
+  Link other = fresh.Accept();
+  other.Read();
+  other.Write(Ok("moved"));
+  CHECK(owed.Read().ends_with("moved"));
+  second.keepalive = 9000000;
+  program.Configure(ConfigText(second));
+  program.Signal(SIGHUP);
+  CHECK(program.Line().find("settings change with the next start only") != std::string::npos);
+  CHECK(program.Wait(SIGTERM) == 0);
+}
+
 TEST_CASE("nested settings read as the simulator's lines do, names and network figures included") {
   const std::string lines = FlattenSettings(
       R"({"Zones":["a","b c"],"Report":{"Columns":[]},"Categories":[{"Name":"x,y","Slo":300000}],)"
