Take neither one refused connection for a restart nor a turned-away query for a crowd

Now a restart that no list told of takes as many refused connections in a row as put a backend to sleep, with no answer between. A turned-away query pauses its backend for a sixteenth of the latency, doubling while it does nothing else, and cuts the limit only where the pace says it is crowded or nothing else came for long.

Two tests, both fail on the module before.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -9,6 +9,7 @@
 #include <limits>
 #include <random>
 #include <unordered_map>
+#include <utility>
 
 #include "meadowslip/balancer.h"
 
@@ -53,6 +54,7 @@
 constexpr double kProbedMembers = 5;
 constexpr double kReserve = 0.6;  // of that burst, left by the class of least worth for its work
 constexpr double kBurst = 6;      // usual latencies for which a sparse node may have one request too many
+constexpr int kFullPauses = 4;    // turned away so often in a row, a backend is full
 constexpr int kMostAttempts = 8;
 constexpr uint32_t kNone = std::numeric_limits<uint32_t>::max();
 constexpr uint64_t kTick = 1;  // timers: this, and one for each attempt, by its request's id
@@ -76,9 +78,10 @@
   Micros lost_at = -kLongestSleep;
   Micros up_since = 0;
   bool trial_out = false;
-  bool others_served = false;        // classes that did not fail, since the row began
-  bool served = false;               // since it last appeared
-  bool refused_connections = false;  // since the last answer: its process may have restarted
+  bool others_served = false;   // classes that did not fail, since the row began
+  bool served = false;          // since it last appeared
+  int refused_connections = 0;  // since the last answer: its process may have restarted
+  int turned_away = 0;          // in a row
   // Cold budget.
   Micros cold_from = 0;
   Micros cold_until = 0;
@@ -315,7 +318,7 @@
   // Harm: a class of few requests that fails now and then by chance sleeps too.
   void OnFailure(Backend& b, int cls, Outcome outcome, bool trial) {
     // Without a connection that served before, a refused one may only mean that the backend has its most.
-    if (outcome == Outcome::kConnectFailed && b.served) b.refused_connections = true;
+    if (outcome == Outcome::kConnectFailed && b.served) ++b.refused_connections;
     if (now_ - b.up_since < kStartGrace && !trial) return;  // grace after start
     if (Asleep(b, cls)) {
       if (trial) FailureEvent(b);
@@ -350,11 +353,11 @@
     b.others_served = sparse_ && b.failures > 0 && (b.failing & Bit(cls)) == 0;
     if (!b.others_served) b.failures = static_cast<int>(b.failing = 0);
     b.served = true;
-    if (b.refused_connections) {
-      // Back after refused connections: most likely a new process, which no list has announced yet.
-      b.refused_connections = false;
-      MarkCold(b, now_);
-    }
+    b.turned_away = 0;
+    // Back after nothing but refused connections: most likely a new process, which no list has announced yet.
+    // One alone is chance, not a restart; taking it for one cost a warm backend most of its limit for as long
+    // as a start takes.
+    if (std::exchange(b.refused_connections, 0) >= kFailuresInARow - sparse_) MarkCold(b, now_);
     if (!trial || !Asleep(b, cls)) return;
     b.asleep = chosen_ = false;  // instant return
     b.limit = std::min(b.limit, kFirstLimit);
@@ -829,9 +832,12 @@
         if (result.outcome == Outcome::kTimeout) Adapt(b, true);
         break;
       case Outcome::kFull:
-        // Turned away: no failure, but it must not look least loaded for having answered fast.
-        b.full_until = now_ + static_cast<Micros>(learned_[r.cls].latency);
-        Adapt(b, true);
+        // Turned away: no failure, but it must not look least loaded for having answered fast. Whether it is
+        // crowded its pace tells: one that turns away some and serves the rest as promptly as ever keeps its
+        // limit. Cut for each, the limit of sound backends fell to the least, and the node refused for it.
+        b.full_until = now_ + (static_cast<Micros>(learned_[r.cls].latency) >>
+                               std::max(0, kFullPauses - b.turned_away++));
+        if (b.pace > kCrowdedPace || b.turned_away > kFullPauses) Adapt(b, true);
         if (a.trial) b.wake_at = now_ + b.sleep;  // it runs, but is not fit for load yet
         break;
       case Outcome::kCancelled:
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -306,6 +306,22 @@
   EXPECT_EQ(b.SendsTo(1, from), 0);
 }
 
+// Guards the limit of a backend that turns away every other query and serves the rest as promptly as ever:
+// it is not crowded. Cut for each, its limit fell to the least and queries were throttled while it idled.
+TEST(Load, TurningAwaySomeLeavesTheLimitOfAPromptBackend) {
+  Bench b = TwoUp();
+  for (int round = 0; round < 200; ++round) {
+    RequestId id = b.Request();
+    if (round % 2 == 0) b.Result(id, 0, Outcome::kFull);
+    b.Pass(20 * kMs);
+    b.Result(id, round % 2 == 0 ? 1 : 0, Outcome::kOk);
+    b.Pass(20 * kMs);
+  }
+  size_t from = b.actions.size();
+  for (int i = 0; i < 8; ++i) b.Request();
+  EXPECT_GE(b.SendsTo(1, from) + b.SendsTo(2, from), 6);  // three each, as at the start
+}
+
 // Guards against working twice on requests that their own work keeps long: a slow answer alone brings no
 // copy.
 TEST(Attempts, WithFewNodesACopyGoesOutOnlyFarAboveTheUsualLatency) {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -228,6 +228,27 @@
   EXPECT_LT(WorstWindow(b, s.overload_window, 0.05, from), 2 * 0.4 / 3);
 }
 
+// Guards against taking one connection that was reset for a restart: on a day of resets warm backends had the
+// limit of cold ones, and queries were throttled for it.
+TEST(ColdBackends, OneRefusedConnectionIsNoRestart) {
+  Settings s = PlainSettings();
+  s.nodes = 3;
+  Bench b(s);
+  b.Ready({1, 2, 3});
+  HeavyTraffic(b, b.now + 5 * kSecond, 50 * kMs);
+  RequestId id;
+  do {
+    id = b.Request();
+    b.Pass(10 * kMs);
+    b.Result(id, 0, b.SentTo(id) == 1 ? Outcome::kConnectFailed : Outcome::kOk);
+    if (b.Count(Act::kSend, id) > 1) b.Result(id, 1, Outcome::kOk);
+  } while (b.Count(Act::kSend, id) == 1);
+  b.Traffic(10, 0, Outcome::kOk);
+  size_t from = b.actions.size();
+  HeavyTraffic(b, b.now + 2 * kSecond, 50 * kMs);
+  EXPECT_GT(b.SendsTo(1, from) * 2, b.SendsTo(2, from));
+}
+
 // Random events against a ledger of its own: what each request may still suffer, and what was told of each
 // backend.
 class Ledger {
