--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -793,8 +793,8 @@
       --out_;
       if (a.trial || !FailedBefore(r, k)) OnFailure(backends_[a.backend], r.cls, Outcome::kTimeout, a.trial);
       Reward(backends_[a.backend], 0);
-      bool safe = set_.classes[r.cls].idempotency == Idempotency::kSafe;
-      if (safe && !r.closed && set_.second_copies) Retry(r);
+      bool may_repeat = set_.classes[r.cls].idempotency != Idempotency::kUnsafe;
+      if (may_repeat && !r.closed && set_.second_copies) Retry(r);
     }
   }
 
