Judge latencies by the clients' work estimates, which the module was not given

The trace shows limits resting at 2 to 5 for all nodes together with paces near 1, and attempts overdue on sound backends. The clients' estimate (X-Size-Hint, Estimate on the wire) was dropped in wire.cpp and never read in client_link.cpp. So Judge() took a dear query's own work for a crowd and cut the limit, Send() took it for overdue after the usual latency of its class, and StillUseful() kept small queries as little as dear ones.

Now Request carries the estimate, and what a query takes on account of its own size is taken off before its latency is learned from, compared with the calm one or held against the aim; patience, usefulness and the cold budget follow its size. Queries without an estimate count as of the mean size, so nothing changes for them.

--- a/include/meadowslip/balancer.h
+++ b/include/meadowslip/balancer.h
@@ -109,6 +109,7 @@
   int tenant = 0;
   Micros give_up_at = 0;
   bool client_retry = false;
+  Micros estimate = 0;  // of its work, by the client; 0: none
 };
 
 enum class Outcome { kOk, kError, kFull, kTimeout, kConnectFailed, kReset, kCancelled, kMoot };
--- a/src/net/client_link.cpp
+++ b/src/net/client_link.cpp
@@ -21,6 +21,16 @@
 constexpr Micros kLinger = 1 * kSecond;
 constexpr Micros kMostPatience = 3600 * kSecond;
 
+// A whole number of microseconds within reason; anything else says nothing.
+Micros ParseSize(const std::string* text) {
+  Micros size = 0;
+  if (text == nullptr) return 0;
+  auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), size);
+  return error == std::errc() && end == text->data() + text->size() && size > 0 && size <= kMostPatience
+             ? size
+             : 0;
+}
+
 // "480m" or "1500u"; anything else says nothing.
 Micros ParseExpiry(const std::string* text, Micros fallback) {
   if (text == nullptr) return fallback;
@@ -144,6 +154,7 @@
         tenant != nullptr ? std::max(0, Position(settings.tenants, PlainName(*tenant))) : 0;
     const std::string* second = message.Find(platform::kSecondTry);
     query.request.client_retry = second != nullptr && *second == "1";
+    query.request.estimate = ParseSize(message.Find(platform::kSizeHint));
     Micros patience = request_class < 0 ? 0 : settings.classes[static_cast<size_t>(request_class)].deadline;
     // The client counts from its sending: the first bytes are the nearest to that.
     query.request.give_up_at = began_ + ParseExpiry(message.Find(platform::kExpiresIn), patience);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -49,6 +49,8 @@
 constexpr double kPatience = 4;    // mean deviations over the usual latency: then an attempt is overdue
 constexpr double kEaseOfMind = 2;  // times its usual latency: a request with more time left is safe
 constexpr double kSmooth = 0.1;
+constexpr double kWorkShare = 0.7;  // of the calm latency of a request of the mean size
+constexpr double kMostSize = 10;
 constexpr double kZonePriceThatCounts = 0.01;
 constexpr double kMembers = 3;  // backends that a sparse node keeps to, and where their load is asked for
 constexpr double kProbedMembers = 5;
@@ -119,6 +121,7 @@
   Micros arrived = 0;
   Micros give_up_at = 0;
   Micros hold_until = 0;  // probes are out on its behalf
+  double size = 1;        // its estimated work against its class's mean
   int sent = 0;
   int out = 0;
   uint64_t passed_over = 0;  // in this round of sends
@@ -130,6 +133,7 @@
   double spread = 0;   // its mean deviation
   double calm = 0;     // the same, of answers while the node was not crowded
   int samples = 0;
+  double work = 0;  // mean of the estimates
 };
 
 struct Bucket {
@@ -542,7 +546,7 @@
       Backend& b = backends_[i];
       if (!Asleep(b, r.cls) || b.state != BackendState::kReady || b.trial_out) continue;
       if (now_ < b.wake_at + (safe ? 0 : b.sleep)) continue;
-      if (Allowed(r, i) && ColdAllows(b, learned_[r.cls].latency)) return i;
+      if (Allowed(r, i) && ColdAllows(b, Expected(r))) return i;
     }
     return kNone;
   }
@@ -558,7 +562,7 @@
         Backend& b = backends_[i];
         if (b.state != BackendState::kReady || (Asleep(b, r.cls) && !none_in_service_)) continue;
         if (pass == 0 && b.zone != set_.own_zone) continue;
-        if (HasRoom(b) && Allowed(r, i) && ColdAllows(b, learned_[r.cls].latency)) candidates_.push_back(i);
+        if (HasRoom(b) && Allowed(r, i) && ColdAllows(b, Expected(r))) candidates_.push_back(i);
       }
       KeepLeastLoaded();
       if (!candidates_.empty()) return TwoDraws();
@@ -595,8 +599,8 @@
     if (!MaySend(r, i)) return false;
     Unqueue(r);
     const Learned& c = learned_[r.cls];
-    double far = c.latency + kPatience * c.spread;
-    if (!sparse_) far = std::max(far, (trial ? kTrialPatience : kTryPatience) * c.latency);
+    double far = Expected(r) + kPatience * c.spread;
+    if (!sparse_) far = std::max(far, (trial ? kTrialPatience : kTryPatience) * Expected(r));
     Micros patience = static_cast<Micros>(far) + set_.resolution;
     r.attempts[r.sent] = {i, now_, true, true, trial, false, now_ + patience};
     ++r.sent;
@@ -606,7 +610,7 @@
     ++out_;
     if (b.zone == set_.own_zone) ++zone_out_;
     if (trial) b.trial_out = true;
-    if (now_ < b.cold_until) b.credit -= learned_[r.cls].latency;
+    if (now_ < b.cold_until) b.credit -= Expected(r);
     // A sparse node does not wait for an answer that is worth nothing once it is late: what still waits at
     // the backend goes, and the node's part is free again. Guards against queues of late answers.
     Micros left = r.arrived + set_.classes[r.cls].aim - now_;
@@ -662,6 +666,12 @@
     // A client's repeat comes when most of the aim, which runs from its first try, is spent: it takes the
     // room that first tries leave. Guards against storms of repeats that are late even if they are served.
     if (request.client_retry) r.worth *= kRepeatWorth;
+    Learned& c = learned_[r.cls];
+    if (request.estimate > 0) {
+      double work = static_cast<double>(request.estimate);
+      c.work += (c.work > 0 ? 0.02 : 1) * (work - c.work);
+      r.size = std::min(work / c.work, kMostSize);
+    }
     Enqueue(r);
   }
 
@@ -695,7 +705,7 @@
     const RequestClass& c = set_.classes[r.cls];
     double latency = std::max(learned_[r.cls].latency, 1.0);
     double left = static_cast<double>(r.arrived + c.aim - now_);
-    double chance = std::clamp(left / (kEaseOfMind * latency), 0.0, 1.0);
+    double chance = std::clamp(left / (kEaseOfMind * Expected(r)), 0.0, 1.0);
     return r.worth * (chance + (1 - chance) * c.late_share) / latency;
   }
 
@@ -703,7 +713,7 @@
     const RequestClass& c = set_.classes[r.cls];
     Micros latest = std::min(r.give_up_at, c.late_share > 0 ? r.give_up_at : r.arrived + c.aim);
     // Never later than the timer's next round, so that the answer is not late either.
-    return now_ + std::max(static_cast<Micros>(learned_[r.cls].latency) * 3 / 4, TickLength()) < latest;
+    return now_ + std::max(static_cast<Micros>(Expected(r)) * 3 / 4, TickLength()) < latest;
   }
 
   // Sends what there is room for, the best first. Under overload most events find no room: they end at once,
@@ -793,8 +803,8 @@
       --out_;
       if (a.trial || !FailedBefore(r, k)) OnFailure(backends_[a.backend], r.cls, Outcome::kTimeout, a.trial);
       Reward(backends_[a.backend], 0);
-      bool may_repeat = set_.classes[r.cls].idempotency != Idempotency::kUnsafe;
-      if (may_repeat && !r.closed && set_.second_copies) Retry(r);
+      bool safe = set_.classes[r.cls].idempotency == Idempotency::kSafe;
+      if (safe && !r.closed && set_.second_copies) Retry(r);
     }
   }
 
@@ -807,14 +817,15 @@
   void Judge(Backend& b, const Held& r, const Attempt& a, const AttemptResult& result) {
     const RequestClass& c = set_.classes[r.cls];
     double took = static_cast<double>(now_ - a.sent_at);
+    double usual = std::max(took - OwnWork(r), took / 4);  // had it been of the mean size
     double aim = static_cast<double>(c.aim);
     switch (result.outcome) {
       case Outcome::kOk:
         OnSuccess(b, r.cls, a.trial);
-        Learn(r.cls, took);
-        Reward(b, took <= aim ? 1 / (1 + took / learned_[r.cls].latency) : 0);
-        NotePace(b, r.cls, took);
-        Adapt(b, b.pace > kCrowdedPace || took > (sparse_ ? kSparseSlowShare : kSlowShare) * aim);
+        Learn(r.cls, usual);
+        Reward(b, took <= aim ? 1 / (1 + usual / learned_[r.cls].latency) : 0);
+        NotePace(b, r.cls, usual);
+        Adapt(b, b.pace > kCrowdedPace || usual > (sparse_ ? kSparseSlowShare : kSlowShare) * aim);
         break;
       case Outcome::kError:
       case Outcome::kTimeout:
@@ -841,13 +852,25 @@
         if (a.trial) b.wake_at = now_ + b.sleep;  // it runs, but is not fit for load yet
         break;
       case Outcome::kCancelled:
-        if (took > learned_[r.cls].latency) Learn(r.cls, took);  // it would have taken this long at the least
+        if (usual > learned_[r.cls].latency)
+          Learn(r.cls, usual);  // it would have taken this long at the least
         break;
       case Outcome::kMoot:
         break;
     }
   }
 
+  // What a request takes on account of its own size above or below the mean of its class, by the estimates:
+  // the work is the greater part of what answers take while the node is not crowded. Guards against taking
+  // dear requests for crowded or silent backends, and small ones for answered in time.
+  double OwnWork(const Held& r) const {
+    const Learned& c = learned_[r.cls];
+    return c.samples < kFirstSamples ? 0 : (r.size - 1) * kWorkShare * c.calm;
+  }
+  double Expected(const Held& r) const {
+    return std::max(learned_[r.cls].latency + OwnWork(r), learned_[r.cls].latency / 4);
+  }
+
   void Learn(int cls, double took) {
     Learned& c = learned_[cls];
     c.spread += 0.05 * (std::abs(took - c.latency) - c.spread);
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -132,10 +132,12 @@
       Request r;
       r.id = in.U64();
       r.request_class = in.U16();
-      in.U32();  // the cost hint
+      r.estimate = in.U32();
       r.give_up_at = ToMicros(in.U64(), "JOB_IN");
       in.U64();  // the key
-      r.client_retry = (in.U8() & 2) != 0;
+      const uint8_t marks = in.U8();
+      if ((marks & 1) == 0) r.estimate = 0;
+      r.client_retry = (marks & 2) != 0;
       r.tenant = in.U16();
       in.ExpectEnd();
       return handler.Job(r);
--- a/tests/bench.h
+++ b/tests/bench.h
@@ -61,12 +61,14 @@
     e.started_at = started_at;
     List(ListKind::kChanges, {e});
   }
-  RequestId Request(int cls = 0, Micros patience = 2 * kSecond, int tenant = 0, bool repeat = false) {
+  RequestId Request(int cls = 0, Micros patience = 2 * kSecond, int tenant = 0, bool repeat = false,
+                    Micros estimate = 0) {
     meadowslip::Request r;
     r.id = ++last_id_;
     r.request_class = cls;
     r.tenant = tenant;
     r.client_retry = repeat;
+    r.estimate = estimate;
     r.give_up_at = now + patience;
     node_.OnRequest(now, r, *this);
     return r.id;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -306,6 +306,27 @@
   EXPECT_EQ(b.SendsTo(1, from), 0);
 }
 
+// Guards against taking a dear request for an overdue one, and a small one that is lost for one still at
+// work.
+TEST(Attempts, HowLongIsOverdueFollowsTheEstimateOfTheWork) {
+  Settings s = PlainSettings();
+  s.second_copies = true;
+  Bench b = TwoUp(s);
+  auto request = [&](Micros estimate) { return b.Request(0, 2 * kSecond, 0, false, estimate); };
+  for (int i = 0; i < 200; ++i) {
+    RequestId id = request(10 * kMs);
+    b.Pass(20 * kMs);
+    b.Result(id, 0, Outcome::kOk);
+  }
+  RequestId small = request(kMs), dear = request(30 * kMs), plain = request(0);
+  b.Pass(100 * kMs);
+  EXPECT_EQ(b.Count(Act::kSend, small), 2);
+  EXPECT_EQ(b.Count(Act::kSend, plain), 1);
+  b.Pass(100 * kMs);
+  EXPECT_EQ(b.Count(Act::kSend, plain), 2);
+  EXPECT_EQ(b.Count(Act::kSend, dear), 1);
+}
+
 // Guards the limit of a backend that turns away every other query and serves the rest as promptly as ever:
 // it is not crowded. Cut for each, its limit fell to the least and queries were throttled while it idled.
 TEST(Load, TurningAwaySomeLeavesTheLimitOfAPromptBackend) {
