Sleep after five failures in a row, and let overdue attempts give their place free

The design leaves the count open up to five: kFailuresInARow is 5 where it was 3; sparse nodes keep their 2. Overdue attempts no longer hold a place at their backend, as they already did not in the node's own limit; sparse nodes keep that too (a story there counts copies).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -19,7 +19,8 @@
 constexpr Micros kMs = 1000;
 constexpr Micros kSecond = 1000 * kMs;
 // The design's figures.
-constexpr int kFailuresInARow = 3;
+constexpr int kFailuresInARow = 5;        // fewer, and chance resets or silences put sound servers to sleep
+constexpr int kSparseFailuresInARow = 2;  // a node that visits a backend once in seconds can't wait for more
 constexpr Micros kFirstSleep = 1 * kSecond;
 constexpr Micros kLongestSleep = 30 * kSecond;
 constexpr Micros kHoldDown = 5 * kSecond;
@@ -92,6 +93,7 @@
   double first_work = 0;
   // Load.
   int in_flight = 0;
+  int overdue = 0;             // of those
   double limit = kFirstLimit;  // of all nodes together; this node takes its part
   Micros full_until = 0;
   double reported = 0;  // requests in hand, by its last report, and what this node has sent since
@@ -329,12 +331,12 @@
       return;
     }
     b.failing |= Bit(cls);
-    // A node that visits a backend once in seconds can't wait for the third.
-    if (++b.failures >= kFailuresInARow - sparse_ && RoomToSleep()) {
+    if (++b.failures >= EnoughFailures() && RoomToSleep()) {
       b.only = b.others_served && b.failing == Bit(cls) ? cls : -1;
       FailureEvent(b);
     }
   }
+  int EnoughFailures() const { return sparse_ ? kSparseFailuresInARow : kFailuresInARow; }
   static uint64_t Bit(int cls) { return uint64_t{1} << std::min(cls, 63); }
 
   // Many failing at once are not each at fault (the network, or a bad kind of request): cap the sleepers.
@@ -361,7 +363,7 @@
     // Back after nothing but refused connections: most likely a new process, which no list has announced yet.
     // One alone is chance, not a restart; taking it for one cost a warm backend most of its limit for as long
     // as a start takes.
-    if (std::exchange(b.refused_connections, 0) >= kFailuresInARow - sparse_) MarkCold(b, now_);
+    if (std::exchange(b.refused_connections, 0) >= EnoughFailures()) MarkCold(b, now_);
     if (!trial || !Asleep(b, cls)) return;
     b.asleep = chosen_ = false;  // instant return
     b.limit = std::min(b.limit, kFirstLimit);
@@ -471,7 +473,8 @@
   }
 
   bool HasRoom(const Backend& b) const {
-    if (now_ < b.full_until || b.in_flight >= std::ceil(Part(b))) return false;
+    // An overdue attempt may be lost: it must not keep a place until its client gives up.
+    if (now_ < b.full_until || b.in_flight - (sparse_ ? 0 : b.overdue) >= std::ceil(Part(b))) return false;
     return !FreshReport(b) || b.reported < std::max(1.0, Limit(b));
   }
 
@@ -779,6 +782,7 @@
     --r.out;
     --b.in_flight;
     out_ -= !a.overdue;
+    b.overdue -= a.overdue;
     if (a.trial) b.trial_out = false;
     TakeReport(b, result.load);
     Judge(b, r, a, result);
@@ -800,6 +804,7 @@
       Attempt& a = r.attempts[k];
       if (!a.out || a.overdue || now_ < a.due_at) continue;
       a.overdue = true;
+      ++backends_[a.backend].overdue;
       --out_;
       if (a.trial || !FailedBefore(r, k)) OnFailure(backends_[a.backend], r.cls, Outcome::kTimeout, a.trial);
       Reward(backends_[a.backend], 0);
