--- a/src/net/client_link.cpp
+++ b/src/net/client_link.cpp
@@ -16,7 +16,8 @@
 namespace burlfall {
 namespace {
 
-constexpr Micros kReadPatience = 30 * kSecond;  // from a query's first byte to its last
+// From a query's first byte to its last: whoever can't send one is owed a word, or the end, within 3 s.
+constexpr Micros kReadPatience = 2500 * kMs;
 constexpr Micros kWritePatience = 10 * kSecond;
 constexpr Micros kLinger = 1 * kSecond;
 constexpr Micros kMostPatience = 3600 * kSecond;
@@ -235,10 +236,11 @@
   while (true) {
     in_.clear();
     Io io = socket_.Read(in_);
-    if (io == Io::kSome) continue;
-    if (io != Io::kLater) co_return;
-    bool notified = co_await socket_.Wait(until);
-    if (!notified) co_return;
+    if (io != Io::kSome && io != Io::kLater) co_return;
+    const Micros now = socket_.scheduler().Now();
+    if (now >= until) co_return;
+    // A piece a turn. Guards the others, and the end of this one, against a client that pours on.
+    co_await socket_.Wait(io == Io::kSome ? now : until);
   }
 }
 
--- a/tests/net/peers.h
+++ b/tests/net/peers.h
@@ -78,6 +78,14 @@
     return n == 0 || errno == ECONNRESET;
   }
   void Close() { fd_ = Descriptor(); }
+  void Pour(const std::string& head) {  // until the link ends, or for kPatience
+    Write(head);
+    const std::string piece(65536, 'x');
+    auto until = std::chrono::steady_clock::now() + std::chrono::seconds(kPatience);
+    while (std::chrono::steady_clock::now() < until &&
+           send(fd_.get(), piece.data(), piece.size(), MSG_NOSIGNAL) > 0) {
+    }
+  }
   void Reset() {
     linger now{1, 0};
     setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
--- a/tests/net/stories_test.cpp
+++ b/tests/net/stories_test.cpp
@@ -228,6 +228,28 @@
   CHECK(client.Read().ends_with("fine"));
 }
 
+TEST_CASE(
+    "a client that sends half a query, or pours on after its error, is ended soon and holds up nobody") {
+  Peer server;
+  Program program(ConfigText({.known = Entry("s-1", server.port)}));
+  auto began = std::chrono::steady_clock::now();
+  Link half = Link::To(program.port);
+  half.Write("POST /open HTTP/1.1\r\nX-Trace-Id: t\r\nContent-Length: 50\r\n\r\nhalf");
+  Link pouring = Link::To(program.port);
+  std::thread pour(
+      [&] { pouring.Pour("POST /open HTTP/1.1\r\nX-Trace-Id: u\r\nContent-Length: 99000000000\r\n\r\n"); });
+  Link other = Link::To(program.port);
+  other.Write(Get("t1"));
+  Link link = server.Accept();
+  link.Read();
+  link.Write(Ok("served"));
+  CHECK(other.Read().ends_with("served"));
+  CHECK(half.Read().starts_with("HTTP/1.1 408 "));
+  CHECK(half.Ended());
+  pour.join();  // its link has ended, or this would go on
+  CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(10));
+}
+
 TEST_CASE("the host group follows discovery through failures, and a drained host gets nothing new") {
   Peer old, fresh, discovery;
   Program program(ConfigText({.known = Entry("s-1", old.port), .discovery = discovery.port}));
