Close client links that asked once and stay, or ask nothing, before they shut others out

The module refused 26 and 31 queries in all, with nothing in flight and nothing waiting; so the queries never came. A count of what client links hold, four times a second: 128 idle links that had asked once, exactly the third of the descriptors that clients may hold, from 2.2 s on, beside up to 106 that never asked. Clients had no connection left.

At fault: MakeRoom() in agent.cpp shed only once the whole budget was used up, one link a try, and nothing closed an idle link before.

--- a/src/net/agent.cpp
+++ b/src/net/agent.cpp
@@ -23,6 +23,10 @@
 constexpr Micros kSweepEvery = 500 * kMs;
 constexpr Micros kAcceptPause = 10 * kMs;
 constexpr Micros kIdleForShedding = 1 * kSecond;
+constexpr Micros kUnaskedForShedding = 250 * kMs;  // who has a query sends it once connected
+constexpr Micros kUnaskedFor = 2 * kSecond;        // with room to spare, too
+constexpr Micros kIdleWhereCrowded = 2 * kSecond;  // no link need stay for longer without a query
+constexpr size_t kShedAtOnce = 64;
 constexpr size_t kSpareDescriptors = 32;  // the listener, epoll, discovery, the standard streams, and some
 
 size_t LinkBudget(const Config& config) {
@@ -111,11 +115,11 @@
   }
   if (phase_ == Phase::kClosing) {
     // One accepted a moment ago may have its first query on the way: it would be lost.
-    for (auto& link : clients_) {
-      if (link->IdleSince(now - kIdleForClosing)) link->Leave();
-    }
+    ShedUnasked(kIdleForClosing, unasked_.size());
+    ShedIdle(kIdleForClosing);
   }
-  if (phase_ == Phase::kClosing && owed_ == 0 && (clients_.empty() || now >= phase_ends_)) {
+  if (phase_ == Phase::kClosing && owed_ == 0 &&
+      ((clients_.empty() && unasked_.empty()) || now >= phase_ends_)) {
     phase_ = Phase::kStopped;
     scheduler_.Stop();
   }
@@ -188,7 +192,7 @@
     if (it != queries_.end() && it->second.closed && it->second.out == 0) queries_.erase(it);
   }
   ended_.clear();
-  for (ClientLink* link : retired_) clients_.erase(link->place);
+  for (ClientLink* link : retired_) (link->asked ? clients_ : unasked_).erase(link->place);
   retired_.clear();
 }
 
@@ -209,7 +213,7 @@
     // Room is made only as the links shed close. Guards the limit in a burst of connections: a process that
     // holds more than it may is stopped.
     if (links() >= most_links_ + kSpareDescriptors / 2) {
-      MakeRoom();
+      MakeRoom(kShedAtOnce);
       return false;
     }
     Descriptor fd(accept4(listener_->fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
@@ -223,9 +227,9 @@
     // the moment the machine has taken it, and waits no longer here than in the machine's backlog.
     MakeRoom();
     ++counters_.client_links;
-    clients_.push_back(std::make_unique<ClientLink>(scheduler_, std::move(fd), *this));
-    clients_.back()->place = std::prev(clients_.end());
-    clients_.back()->Start();
+    unasked_.push_back(std::make_unique<ClientLink>(scheduler_, std::move(fd), *this));
+    unasked_.back()->place = std::prev(unasked_.end());
+    unasked_.back()->Start();
   }
 }
 
@@ -233,8 +237,9 @@
 // idle longest makes room, since clients come back at little cost, or else an idle server link. A client link
 // that was busy, or was accepted, a moment ago is no idle one: its next query may be on its way, and is lost
 // if the link closes now.
-bool Agent::MakeRoom() {
+bool Agent::MakeRoom(size_t wanted) {
   if (links() < most_links_) return true;
+  ShedUnasked(kUnaskedForShedding, wanted);
   for (auto& link : clients_) {
     if (!link->IdleSince(scheduler_.Now() - kIdleForShedding)) continue;
     link->Leave();
@@ -243,7 +248,34 @@
   return hosts_.ShedIdleLink();
 }
 
-void Agent::Busy() { ++owed_; }
+// Links that have said nothing go first, many at once and soon: clients that open them by hundreds would
+// else keep the usual ones, who wait behind them to be accepted, out for seconds. What has come on a link by
+// then is still read and answered.
+void Agent::ShedUnasked(Micros idle_for, size_t most) {
+  const Micros then = scheduler_.Now() - idle_for;
+  for (auto link = unasked_.begin(); link != unasked_.end() && most > 0; ++link) {
+    if ((*link)->IdleSince(then)) {
+      (*link)->Leave();
+    } else if ((*link)->UnfinishedSince(then)) {
+      (*link)->Cut();
+    } else {
+      continue;
+    }
+    --most;
+  }
+}
+
+void Agent::ShedIdle(Micros idle_for) {
+  const Micros then = scheduler_.Now() - idle_for;
+  for (auto& link : clients_) {
+    if (link->IdleSince(then)) link->Leave();
+  }
+}
+
+void Agent::Busy(ClientLink& link) {
+  ++owed_;
+  if (!std::exchange(link.asked, true)) clients_.splice(clients_.end(), unasked_, link.place);
+}
 
 void Agent::Free(ClientLink& link) {
   clients_.splice(clients_.end(), clients_, link.place);
@@ -282,6 +314,8 @@
   while (true) {
     co_await sweep_.Wait(scheduler_.Now() + kSweepEvery);
     hosts_.RetireLinks();
+    if (crowded()) ShedIdle(kIdleWhereCrowded);
+    ShedUnasked(kUnaskedFor, unasked_.size());  // each is owed an end within 3 s
   }
 }
 
--- a/src/net/agent.h
+++ b/src/net/agent.h
@@ -50,10 +50,12 @@
   Counters& counters() { return counters_; }
   bool up() const { return phase_ == Phase::kServing; }
   bool draining() const { return phase_ > Phase::kServing; }
-  bool tight() const { return links() >= most_links_ * 3 / 4; }  // descriptors run short
+  // Descriptors run short, or clients do: they may hold a third of them, and some keep for good what they
+  // asked on once, which shuts the others out.
+  bool tight() const { return links() >= most_links_ * 3 / 4 || crowded(); }
   meadowslip::RequestId Take(Query query);
   void Left(meadowslip::RequestId id);
-  void Busy();
+  void Busy(ClientLink& link);
   void Free(ClientLink& link);
   void Retire(ClientLink& link);
 
@@ -91,8 +93,13 @@
   void FireTimers();
   void Bury();
   void MovePhase();
-  bool MakeRoom();
-  size_t links() const { return clients_.size() + server_links_.open(); }
+  bool MakeRoom(size_t wanted = 1);
+  void ShedUnasked(Micros idle_for, size_t most);
+  bool crowded() const {
+    return (unasked_.size() + clients_.size()) * 6 >= static_cast<size_t>(config_.sockets);
+  }
+  void ShedIdle(Micros idle_for);
+  size_t links() const { return unasked_.size() + clients_.size() + server_links_.open(); }
   Query* Open(meadowslip::RequestId id);
   ClientLink* Close(meadowslip::RequestId id, Query& query);
   void Count(meadowslip::Outcome outcome);
@@ -118,6 +125,7 @@
   std::vector<ClientLink*> retired_;
   meadowslip::Balancer balancer_;
   std::unordered_map<meadowslip::RequestId, Query> queries_;
+  std::list<std::unique_ptr<ClientLink>> unasked_;  // without a query so far, the oldest first
   std::list<std::unique_ptr<ClientLink>> clients_;  // the one that answered least lately first
   Task<> accept_;                                   // the tasks last: what they use must outlive them
   Task<> sweeper_;
--- a/src/net/client_link.cpp
+++ b/src/net/client_link.cpp
@@ -73,12 +73,17 @@
   socket_.Notify();
 }
 
+void ClientLink::Cut() {
+  cut_ = true;
+  socket_.Notify();
+}
+
 Task<> ClientLink::Run() {
   while (true) {
     bool whole = co_await ReadQuery();
     if (!whole) break;
     busy_ = true;
-    agent_.Busy();
+    agent_.Busy(*this);
     bool stays = co_await Handle();
     busy_ = false;
     idle_since_ = socket_.scheduler().Now();
@@ -86,7 +91,7 @@
     if (!stays) break;
   }
   leaving_ = true;
-  if (told_) co_await Linger();
+  if (told_ && !cut_) co_await Linger();
   // Here and now, not when the agent buries this link: an idle link was read empty a moment ago, and a query
   // that comes between that and the close is lost. Guards against the turn that once lay between the two.
   socket_.Close();
@@ -107,8 +112,10 @@
       if (io != Io::kLater) co_return false;
       // Only here, with nothing left to read: what has come whole gets its answer.
       if (leave_ && began_ == 0) co_return false;
-      bool notified = co_await socket_.Wait(began_ == 0 ? kNever : began_ + kReadPatience);
-      if (notified) continue;
+      if (!cut_ || began_ == 0) {
+        bool notified = co_await socket_.Wait(began_ == 0 ? kNever : began_ + kReadPatience);
+        if (notified) continue;
+      }
     }
     ++agent_.counters().bad;
     last_ = true;
--- a/src/net/client_link.h
+++ b/src/net/client_link.h
@@ -28,9 +28,16 @@
   bool IdleSince(Micros then) const {
     return !busy_ && !leave_ && !leaving_ && began_ == 0 && idle_since_ <= then;
   }
+  // A query that began by then is still not whole.
+  bool UnfinishedSince(Micros then) const {
+    return !busy_ && !cut_ && !leaving_ && began_ != 0 && began_ <= then;
+  }
   void Leave();  // closes as soon as it is idle
+  void Cut();    // gives up on a query that is not whole
 
-  std::list<std::unique_ptr<ClientLink>>::iterator place;  // among the agent's links
+  // Among the agent's links.
+  std::list<std::unique_ptr<ClientLink>>::iterator place;
+  bool asked = false;  // has had a query
 
  private:
   Task<> Run();
@@ -53,6 +60,7 @@
   bool answered_ = false;
   bool last_ = false;  // the link closes after this answer
   bool leave_ = false;
+  bool cut_ = false;
   bool leaving_ = false;
   bool told_ = false;  // an error of ours, or the last answer: the client may not have read it yet
   Task<> task_;        // last: what it uses must outlive it
--- a/tests/net/stories_test.cpp
+++ b/tests/net/stories_test.cpp
@@ -303,6 +303,34 @@
   CHECK(idle.front().Ended());
 }
 
+TEST_CASE("hundreds of links that say nothing do not keep out a client for long, and end soon") {
+  Peer server;
+  Program program(ConfigText({.known = Entry("s-1", server.port), .sockets = 64}));
+  auto began = std::chrono::steady_clock::now();
+  std::vector<Link> quiet;
+  for (int i = 0; i < 600; ++i) quiet.push_back(Link::To(program.port));
+  Link client = Link::To(program.port);
+  client.Write("GET /up HTTP/1.1\r\n\r\n");
+  CHECK(client.Read().starts_with("HTTP/1.1 200 "));
+  CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(6));
+  for (Link& link : quiet) CHECK(link.Ended());
+}
+
+TEST_CASE("links that asked once and stay are closed where clients crowd, before they shut others out") {
+  Peer server;
+  Program program(ConfigText({.known = Entry("s-1", server.port), .sockets = 64}));
+  std::vector<Link> kept;
+  std::string answer;
+  for (int i = 0; i < 12; ++i) {  // of the 21 that clients may hold
+    kept.push_back(Link::To(program.port));
+    kept.back().Write("GET /up HTTP/1.1\r\n\r\n");
+    answer = kept.back().Read();
+    if (i == 0) CHECK(answer.find("Connection: close") == std::string::npos);
+  }
+  CHECK(answer.find("Connection: close\r\n") != std::string::npos);
+  CHECK(kept.front().Ended());
+}
+
 TEST_CASE("where descriptors run short clients are told, and a link just accepted is not shed for the next") {
   Peer server;
   Program program(ConfigText({.known = Entry("s-1", server.port), .sockets = 64}));
