--- a/tests/net/stories_test.cpp
+++ b/tests/net/stories_test.cpp
@@ -328,6 +328,11 @@
     if (i == 0) CHECK(answer.find("Connection: close") == std::string::npos);
   }
   CHECK(answer.find("Connection: close\r\n") != std::string::npos);
+  std::vector<Link> busy;
+  for (int i = 0; i < 4; ++i) {
+    busy.push_back(Link::To(program.port));
+    busy.back().Write(Get("t" + std::to_string(i)));
+  }
   CHECK(kept.front().Ended());
 }
 
