Figures for each class and tenant, and the operators' properties that turn them on

The program's own lines go the same way now: a pipe that nobody reads used to stall all queries at the next SIGUSR1.

Seen while testing: ParseAddress took 127.0.0.1:99999 for port 0; it is refused now.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,10 @@
 # Tasks for people; the build itself is CMake's.
 CONFIG ?= config.json
+PROPERTIES ?= deploy/burlfall.properties
 JOBS ?= 4
-SOURCES = $(wildcard src/*.cpp src/*.h src/net/*.cpp src/net/*.h include/meadowslip/*.h \
-                     tests/*.cpp tests/*.h tests/net/*.cpp tests/net/*.h)
+SOURCES = $(wildcard src/*.cpp src/*.h src/net/*.cpp src/net/*.h src/features/*.cpp src/features/*.h \
+                     include/meadowslip/*.h tests/*.cpp tests/*.h tests/net/*.cpp tests/net/*.h \
+                     tests/features/*.cpp)
 
 .PHONY: build test sanitize lint format run clean
 
@@ -28,7 +30,7 @@
 	clang-format -i $(SOURCES)
 
 run: build
-	PROXY_CONFIG=$(CONFIG) exec build/burlfall serve
+	PROXY_CONFIG=$(CONFIG) exec build/burlfall serve --config $(PROPERTIES)
 
 clean:
 	rm -rf build build-test build-san
--- /dev/null
+++ b/src/features/properties.cpp
@@ -0,0 +1,140 @@
+#include "features/properties.h"
+
+#include <boost/program_options.hpp>
+#include <charconv>
+#include <cmath>
+#include <fstream>
+#include <functional>
+#include <ios>
+#include <iterator>
+#include <map>
+#include <sstream>
+#include <string_view>
+#include <utility>
+
+namespace burlfall {
+namespace {
+
+namespace options = boost::program_options;
+
+std::string Short(std::string_view text) { return std::string(text.substr(0, 40)); }
+
+std::string ReadText(const std::string& path) {
+  try {
+    std::ifstream file(path, std::ios::binary);
+    if (file) {
+      std::string text(std::istreambuf_iterator<char>(file), {});
+      if (!file.bad()) return text;
+    }
+  } catch (const std::ios_base::failure&) {  // a directory, for one
+  }
+  throw BadConfig(path + ": can't be read");
+}
+
+bool Flag(const std::string& value) {
+  if (value != "true" && value != "false") throw BadConfig("neither true nor false: " + Short(value));
+  return value == "true";
+}
+
+int64_t Whole(const std::string& value, int64_t least, int64_t most) {
+  int64_t number = 0;
+  auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), number);
+  if (error != std::errc() || end != value.data() + value.size() || number < least || number > most) {
+    throw BadConfig("not a whole number from " + std::to_string(least) + " to " + std::to_string(most) +
+                    ": " + Short(value));
+  }
+  return number;
+}
+
+std::string Name(const std::string& value, const char* what) {
+  if (value.empty()) throw BadConfig(std::string("no ") + what);
+  return value;
+}
+
+// What each key sets; a name that ends in a star stands for all that begin so, and is told the rest.
+using Setter = std::function<void(const std::string& value, const std::string& rest)>;
+using Setters = std::map<std::string, Setter>;
+
+void FiguresKeys(Setters& keys, FiguresSettings& figures) {
+  keys["figures.format"] = [&](const std::string& value, const std::string&) {
+    if (value != "statsd" && value != "influx") throw BadConfig("neither statsd nor influx: " + Short(value));
+    figures.influx = value == "influx";
+  };
+  keys["figures.target"] = [&](const std::string& value, const std::string&) {
+    figures.target = Name(value, "target");
+    if (value.find(':') != std::string::npos && value.find('/') == std::string::npos) {
+      figures.collector = ParseAddress(value);
+    }
+  };
+  keys["figures.flush_ms"] = [&](const std::string& value, const std::string&) {
+    figures.flush = Whole(value, 10, 3600000) * kMs;
+  };
+  keys["figures.batch_bytes"] = [&](const std::string& value, const std::string&) {
+    figures.batch_bytes = static_cast<size_t>(Whole(value, 64, 32768));
+  };
+}
+
+const Setters::value_type* Match(const Setters& keys, const std::string& key) {
+  for (const auto& entry : keys) {
+    std::string_view name = entry.first;
+    if (name == key) return &entry;
+    if (name.back() == '*' && key.starts_with(name.substr(0, name.size() - 1))) return &entry;
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+std::string Properties::On() const {
+  std::string names;
+  auto add = [&names](bool on, const char* name) {
+    if (on) names.append(names.empty() ? "" : ", ").append(name);
+  };
+  add(figures.on, "figures");
+  return names.empty() ? "none" : names;
+}
+
+Properties LoadProperties(const std::string& path) {
+  Properties properties;
+  Setters keys;
+  FiguresKeys(keys, properties.figures);
+  const std::map<std::string, bool*> features = {{"figures", &properties.figures.on}};
+
+  options::options_description known;
+  for (const auto& [key, set] : keys) known.add_options()(key.c_str(), options::value<std::string>());
+  std::map<std::string, bool> enabled;
+  for (const auto& [feature, on] : features) {
+    known.add_options()((feature + ".enabled").c_str(), options::value<std::string>());
+  }
+  std::istringstream text(ReadText(path));
+  options::parsed_options parsed(&known);
+  try {
+    parsed = options::parse_config_file(text, known);
+  } catch (const options::unknown_option& e) {
+    throw BadConfig(path + ": unknown key " + Short(e.get_option_name()));
+  } catch (const options::error&) {  // its own words would show the line, and with it perhaps a secret
+    throw BadConfig(path + ": a line that is not key = value");
+  }
+  std::map<std::string, int> seen;
+  for (const auto& option : parsed.options) {
+    const std::string& key = option.string_key;
+    const std::string value = option.value.empty() ? "" : option.value.front();
+    const std::string feature = key.substr(0, key.find('.'));
+    try {
+      if (++seen[key] > 1) throw BadConfig("stands there twice");
+      bool* on = features.at(feature);
+      if (key == feature + ".enabled") {
+        enabled[feature] = Flag(value);
+      } else if (const auto* entry = Match(keys, key)) {
+        entry->second(value, key.substr(std::min(key.size(), entry->first.size() - 1)));
+      }
+      *on = true;
+    } catch (const BadConfig& e) {
+      throw BadConfig(path + ": " + key + ": " + e.what());
+    }
+  }
+  for (const auto& [feature, on] : enabled) *features.at(feature) = on;
+  return properties;
+}
+
+}  // namespace burlfall
--- /dev/null
+++ b/src/features/properties.h
@@ -0,0 +1,35 @@
+// The operators' own settings, from a file of `key = value` lines. A feature is on when the file holds one of
+// its keys, unless `<feature>.enabled` says false.
+#ifndef BURLFALL_FEATURES_PROPERTIES_H_
+#define BURLFALL_FEATURES_PROPERTIES_H_
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+#include "net/config.h"
+#include "net/scheduler.h"
+
+namespace burlfall {
+
+struct FiguresSettings {
+  bool on = false;
+  bool influx = false;            // statsd otherwise
+  std::string target = "stderr";  // or a file's path, or the text of `collector`
+  std::optional<Address> collector = {};
+  Micros flush = kSecond;
+  size_t batch_bytes = 1400;
+};
+
+struct Properties {
+  FiguresSettings figures;
+
+  std::string On() const;  // the features that are on, by name
+};
+
+// Throws BadConfig, in one plain line that never shows a secret.
+Properties LoadProperties(const std::string& path);
+
+}  // namespace burlfall
+
+#endif  // BURLFALL_FEATURES_PROPERTIES_H_
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -15,8 +15,10 @@
 #include <system_error>
 #include <vector>
 
+#include "features/properties.h"
 #include "net/agent.h"
 #include "net/config.h"
+#include "net/outlet.h"
 #include "net/platform.h"
 #include "net/scheduler.h"
 
@@ -26,8 +28,9 @@
 namespace options = boost::program_options;
 
 constexpr int kUsageError = 2;
+constexpr Micros kLastLines = 300 * kMs;
 constexpr char kUsage[] =
-    "usage: burlfall COMMAND\n"
+    "usage: burlfall COMMAND [OPTIONS]\n"
     "\n"
     "  serve          runs the balancer in the foreground until SIGTERM\n"
     "  check-config   reads the configuration, prints what it says and ends\n"
@@ -36,37 +39,49 @@
     "\n"
     "serve and check-config read the file that PROXY_CONFIG names; PROXY_NAME, PROXY_LISTEN and\n"
     "PROXY_DISCOVERY go before what it says. A balancer that runs prints its counters on SIGUSR1, and reads\n"
-    "the file anew on SIGHUP.\n";
+    "its files anew on SIGHUP. burlfall COMMAND --help tells a command's options.\n";
 
-void PrintCounters(const Agent& agent, Counters& counters) {
-  std::cerr << "burlfall: counters: " << counters.Text() << " phase=" << static_cast<int>(agent.phase())
-            << "\n";
+void PrintCounters(const Agent& agent, const Counters& counters, Outlet& errors) {
+  errors.Say("burlfall: counters: " + counters.Text() +
+             " phase=" + std::to_string(static_cast<int>(agent.phase())) + "\n");
+}
+
+// The operators' own settings; without a file, every feature is off.
+Properties ReadProperties(const std::string& path) {
+  return path.empty() ? Properties() : LoadProperties(path);
 }
 
 // A file that can't be used leaves what was read before in force. The variables don't go before it any more:
 // they are those of the start.
-void Reload(Agent& agent) {
+void Reload(Agent& agent, const std::string& path, Outlet& errors) {
   try {
     bool all = agent.Reload(LoadConfig([](const char* name) -> const char* {
       return std::string_view(name) == platform::kConfigVariable ? std::getenv(name) : nullptr;
     }));
-    std::cerr << "burlfall: configuration read anew"
-              << (all ? "\n" : "; name, listen and settings change with the next start only\n");
+    errors.Say(std::string("burlfall: configuration read anew") +
+               (all ? "\n" : "; name, listen and settings change with the next start only\n"));
   } catch (const std::exception& e) {
-    std::cerr << "burlfall: configuration kept as it was: " << e.what() << "\n";
+    errors.Say(std::string("burlfall: configuration kept as it was: ") + e.what() + "\n");
+  }
+  if (path.empty()) return;
+  try {
+    agent.Reload(LoadProperties(path));
+    errors.Say(
+        "burlfall: properties read anew; those of figures and capture change with the next start only\n");
+  } catch (const std::exception& e) {
+    errors.Say(std::string("burlfall: properties kept as they were: ") + e.what() + "\n");
   }
 }
 
-// SIGTERM and SIGINT end the program in order, SIGUSR1 prints the counters, SIGHUP has the configuration
-// read.
-Task<> HearSignals(Socket& signals, Agent& agent) {
+// SIGTERM and SIGINT end the program in order, SIGUSR1 prints the counters, SIGHUP has the files read.
+Task<> HearSignals(Socket& signals, Agent& agent, const std::string& path, Outlet& errors) {
   while (true) {
     signalfd_siginfo info;
     while (read(signals.fd(), &info, sizeof info) == static_cast<ssize_t>(sizeof info)) {
       if (info.ssi_signo == SIGUSR1) {
-        PrintCounters(agent, agent.counters());
+        PrintCounters(agent, agent.counters(), errors);
       } else if (info.ssi_signo == SIGHUP) {
-        Reload(agent);
+        Reload(agent, path, errors);
       } else {
         agent.Drain();
       }
@@ -75,7 +90,7 @@
   }
 }
 
-int Serve() {
+int Serve(const std::string& path) {
   // Before all else: a signal that comes while the program starts must wait, not end it.
   sigset_t set;
   sigemptyset(&set);
@@ -83,61 +98,92 @@
   sigprocmask(SIG_BLOCK, &set, nullptr);
   signal(SIGPIPE, SIG_IGN);
   Config config = LoadConfig([](const char* name) -> const char* { return std::getenv(name); });
+  const Properties properties = ReadProperties(path);
+  Outlet errors = Outlet::StandardError();
   Scheduler scheduler;
-  Agent agent(scheduler, config);
+  Agent agent(scheduler, config, properties, errors);
   Socket signals(scheduler, Descriptor(signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC)));
-  Task<> hearing = HearSignals(signals, agent);
+  Task<> hearing = HearSignals(signals, agent, path, errors);
   hearing.Start();
   agent.Start();
   std::string host = config.listen.text.substr(0, config.listen.text.rfind(':') + 1);
-  std::cerr << "burlfall: " << config.name << " serves at " << host << agent.port() << "\n";
+  errors.Say("burlfall: " + config.name + " serves at " + host + std::to_string(agent.port()) + "\n");
   scheduler.Run();
-  PrintCounters(agent, agent.counters());
+  agent.Finish();
+  PrintCounters(agent, agent.counters(), errors);
+  errors.Drain(kLastLines);
   return 0;
 }
 
-int CheckConfig() {
+int CheckConfig(const std::string& path) {
   Config config = LoadConfig([](const char* name) -> const char* { return std::getenv(name); });
+  const Properties properties = ReadProperties(path);
   std::cout << "name " << config.name << ", listens at " << config.listen.text << ", discovery at "
             << config.discovery.text << ", " << config.settings.classes.size() << " classes, "
             << config.settings.tenants.size() << " tenants, " << config.known.hosts.size()
-            << " known hosts, at most " << config.sockets << " descriptors\n";
+            << " known hosts, at most " << config.sockets << " descriptors";
+  if (!path.empty()) std::cout << "; features on: " << properties.On();
+  std::cout << "\n";
   return 0;
 }
 
-int Run(int argc, char** argv) {
-  options::options_description known("options");
-  known.add_options()("help,h", "")("command", options::value<std::string>());
-  options::positional_options_description places;
-  places.add("command", 1);
-  options::variables_map given;
+int UsageError(const std::string& what) {
+  std::cerr << "burlfall: " << what << "\n" << kUsage;
+  return kUsageError;
+}
+
+// The options of one command, from the words behind it. False where the command line is wrong, or help was
+// asked for; `code` then says how to end.
+bool Options(options::options_description known, const std::vector<std::string>& words,
+             options::variables_map& given, int& code) {
+  known.add_options()("help,h", "prints this");
   try {
-    options::store(options::command_line_parser(argc, argv).options(known).positional(places).run(), given);
+    options::store(options::command_line_parser(words)
+                       .options(known)
+                       .positional(options::positional_options_description())
+                       .run(),
+                   given);
+    if (!given.contains("help")) options::notify(given);
   } catch (const options::error& e) {
-    std::cerr << "burlfall: " << e.what() << "\n" << kUsage;
-    return kUsageError;
+    code = UsageError(e.what());
+    return false;
   }
-  std::string command = given.contains("command") ? given["command"].as<std::string>() : "";
-  if (given.contains("help") || command == "help") {
+  code = 0;
+  if (given.contains("help")) std::cout << known;
+  return !given.contains("help");
+}
+
+int Run(const std::vector<std::string>& words) {
+  if (words.empty()) return UsageError("no command");
+  const std::string& command = words.front();
+  const std::vector<std::string> rest(words.begin() + 1, words.end());
+  options::variables_map given;
+  int code = 0;
+  std::string file;
+  if (command == "help" || command == "--help" || command == "-h") {
     std::cout << kUsage;
     return 0;
   }
-  if (command == "serve") return Serve();
-  if (command == "check-config") return CheckConfig();
+  if (command == "serve" || command == "check-config") {
+    options::options_description known("burlfall " + command + " [--config FILE]");
+    known.add_options()("config", options::value(&file)->value_name("FILE"),
+                        "the operators' properties; without them every feature is off");
+    if (!Options(known, rest, given, code)) return code;
+    return command == "serve" ? Serve(file) : CheckConfig(file);
+  }
   if (command == "version") {
+    if (!Options(options::options_description("burlfall version"), rest, given, code)) return code;
     std::cout << "burlfall " << BURLFALL_VERSION << "\n";
     return 0;
   }
-  std::cerr << "burlfall: " << (command.empty() ? "no command" : "unknown command " + command) << "\n"
-            << kUsage;
-  return kUsageError;
+  return UsageError("unknown command " + command);
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
   try {
-    return Run(argc, argv);
+    return Run(std::vector<std::string>(argv + 1, argv + argc));
   } catch (const std::exception& e) {
     std::cerr << "burlfall: " << e.what() << "\n";
     return 1;
--- a/src/net/agent.cpp
+++ b/src/net/agent.cpp
@@ -20,6 +20,7 @@
 constexpr Micros kCloseFor = 300 * kMs;  // for links that owe nothing
 constexpr Micros kCloseStep = 20 * kMs;
 constexpr Micros kIdleForClosing = 200 * kMs;
+constexpr Micros kFinishFor = 300 * kMs;  // for the last lines, where what takes them is slow
 constexpr Micros kSweepEvery = 500 * kMs;
 constexpr Micros kAcceptPause = 10 * kMs;
 constexpr Micros kIdleForShedding = 1 * kSecond;
@@ -49,7 +50,7 @@
 
 }  // namespace
 
-Agent::Agent(Scheduler& scheduler, Config config)
+Agent::Agent(Scheduler& scheduler, Config config, const Properties& properties, Outlet& errors)
     : scheduler_(scheduler),
       config_(std::move(config)),
       most_links_(LinkBudget(config_)),
@@ -63,6 +64,9 @@
       turn_(scheduler),
       sweep_(scheduler),
       balancer_(config_.settings, config_.seed) {
+  if (properties.figures.on) {
+    figures_ = std::make_unique<Figures>(scheduler, properties.figures, config_.settings, errors, counters_);
+  }
   listener_.emplace(scheduler, Listen(config_.listen));
 }
 
@@ -77,6 +81,7 @@
 // ---- Phases ----------------------------------------------------------------------------------------------
 
 void Agent::Start() {
+  if (figures_) figures_->Start();
   hosts_.Start();
   phase_ = Phase::kServing;
   turns_ = Turns();
@@ -104,6 +109,14 @@
   return same;
 }
 
+void Agent::Reload(const Properties&) {
+  if (figures_) figures_->Reopen();
+}
+
+void Agent::Finish() {
+  if (figures_) figures_->Finish(kFinishFor);
+}
+
 void Agent::MovePhase() {
   Micros now = scheduler_.Now();
   if (phase_ == Phase::kDraining && now >= phase_ends_) {
@@ -163,7 +176,7 @@
   Count(result.answer.outcome);
   if (result.answer.outcome == Outcome::kOk && !query.closed) {
     ++counters_.served;
-    Close(result.id, query)->Serve(result.answer.message);
+    Close(result.id, query, Figure::kServed)->Serve(result.answer.message);
   }
   if (query.closed) ended_.push_back(result.id);
   meadowslip::AttemptResult told;
@@ -292,10 +305,13 @@
   ++counters_.taken;
   if (queries_.size() >= static_cast<size_t>(config_.settings.open_cap)) {
     ++counters_.throttled;
+    if (figures_) figures_->Add(query.series, Figure::kThrottled);
     query.client->Throttle(0);
     return id;
   }
   query.request.id = id;
+  query.taken_at = scheduler_.Now();
+  if (figures_) figures_->Opened(query.series);
   meadowslip::Request request = query.request;
   queries_.emplace(id, std::move(query));
   balancer_.OnRequest(scheduler_.Now(), request, *this);
@@ -306,7 +322,7 @@
   Query* query = Open(id);
   if (query == nullptr) return;
   ++counters_.left;
-  Close(id, *query);
+  Close(id, *query, Figure::kLeft);
   balancer_.OnClientLeft(scheduler_.Now(), id, *this);
 }
 
@@ -327,7 +343,8 @@
 }
 
 // From here on nothing is owed; the answer is the caller's to give.
-ClientLink* Agent::Close(RequestId id, Query& query) {
+ClientLink* Agent::Close(RequestId id, Query& query, Figure how) {
+  if (figures_) figures_->Closed(query.series, how, scheduler_.Now() - query.taken_at);
   query.closed = true;
   ended_.push_back(id);
   turn_.Notify();
@@ -351,6 +368,7 @@
     return Post(id, n, ServerAnswer());
   }
   ++counters_.sent;
+  if (figures_) figures_->Add(query.series, Figure::kAttempts);
   attempt.task = Try(id, n, *host, until);
   attempt.task.Start();
 }
@@ -377,14 +395,14 @@
   Query* query = Open(id);
   if (query == nullptr) return;
   ++counters_.throttled;
-  Close(id, *query)->Throttle(retry_after);
+  Close(id, *query, Figure::kThrottled)->Throttle(retry_after);
 }
 
 void Agent::Fail(RequestId id) {
   Query* query = Open(id);
   if (query == nullptr) return;
   ++counters_.failed;
-  Close(id, *query)->Fail();
+  Close(id, *query, Figure::kFailed)->Fail();
 }
 
 void Agent::Schedule(Micros delay, uint64_t timer) {
--- a/src/net/agent.h
+++ b/src/net/agent.h
@@ -13,11 +13,14 @@
 #include <utility>
 #include <vector>
 
+#include "features/figures.h"
+#include "features/properties.h"
 #include "meadowslip/balancer.h"
 #include "net/client_link.h"
 #include "net/config.h"
 #include "net/counters.h"
 #include "net/host_group.h"
+#include "net/outlet.h"
 #include "net/query.h"
 #include "net/scheduler.h"
 #include "net/server_link.h"
@@ -35,19 +38,22 @@
 class Agent : public meadowslip::ActionSink {
  public:
   // Binds the address; throws std::system_error where that can't be done.
-  Agent(Scheduler& scheduler, Config config);
+  Agent(Scheduler& scheduler, Config config, const Properties& properties, Outlet& errors);
 
   void Start();
   void Drain();  // ends, in order
   // Takes up a configuration read anew: where discovery is, and the descriptors it allows. The rest holds
   // until the next start; false where it differs.
   bool Reload(Config config);
+  void Reload(const Properties& properties);  // what of them may change in service
+  void Finish();                              // what the features still have to write
   Phase phase() const { return phase_; }
   uint16_t port() const;
 
   // For the client links.
   const meadowslip::Settings& settings() const { return config_.settings; }
   Counters& counters() { return counters_; }
+  Figures* figures() { return figures_.get(); }  // nullptr: off
   bool up() const { return phase_ == Phase::kServing; }
   bool draining() const { return phase_ > Phase::kServing; }
   // Descriptors run short, or clients do: they may hold a third of them, and some keep for good what they
@@ -101,12 +107,13 @@
   void ShedIdle(Micros idle_for);
   size_t links() const { return unasked_.size() + clients_.size() + server_links_.open(); }
   Query* Open(meadowslip::RequestId id);
-  ClientLink* Close(meadowslip::RequestId id, Query& query);
+  ClientLink* Close(meadowslip::RequestId id, Query& query, Figure how);
   void Count(meadowslip::Outcome outcome);
 
   Scheduler& scheduler_;
   Config config_;
   Counters counters_;
+  std::unique_ptr<Figures> figures_;
   Phase phase_ = Phase::kStarting;
   Micros phase_ends_ = kNever;
   size_t most_links_ = 0;  // clients' and servers' together
--- a/src/net/client_link.cpp
+++ b/src/net/client_link.cpp
@@ -160,6 +160,10 @@
     const std::string* tenant = message.Find(platform::kTenant);
     query.request.tenant =
         tenant != nullptr ? std::max(0, Position(settings.tenants, PlainName(*tenant))) : 0;
+    if (Figures* figures = agent_.figures()) {
+      query.series = figures->Of(request_class, tenant);
+      figures->Add(query.series, Figure::kRequests);
+    }
     const std::string* second = message.Find(platform::kSecondTry);
     query.request.client_retry = second != nullptr && *second == "1";
     query.request.estimate = ParseSize(message.Find(platform::kSizeHint));
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -151,8 +151,9 @@
   std::string host = text.substr(0, std::min(colon, text.size()));
   uint16_t port = 0;
   const char* end = text.data() + text.size();
-  if (colon == std::string::npos || std::from_chars(text.data() + colon + 1, end, port).ptr != end ||
-      colon + 1 == text.size()) {
+  const char* digits = colon == std::string::npos ? end : text.data() + colon + 1;
+  auto [stop, error] = std::from_chars(digits, end, port);
+  if (error != std::errc() || stop != end) {  // an error too: 99999 is read to its end
     throw BadConfig("not an address: " + text.substr(0, 60));
   }
   Address address;
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -27,6 +27,8 @@
   uint64_t moot = 0;
   uint64_t lists = 0;  // from discovery
   uint64_t lists_failed = 0;
+  // Of the features; not told of while there is nothing to tell.
+  uint64_t figures_dropped = 0;
 
   std::string Text() const;  // one line: name=value ...
 };
--- a/src/net/query.h
+++ b/src/net/query.h
@@ -24,7 +24,9 @@
   HttpMessage message;
   ClientLink* client = nullptr;  // while it is owed an answer
   bool closed = false;           // answered, or the client has left
-  int out = 0;                   // attempts whose results the module has not been told
+  uint32_t series = 0;           // of its figures
+  Micros taken_at = 0;
+  int out = 0;  // attempts whose results the module has not been told
   std::vector<Attempt> attempts;
 };
 
--- a/tests/net/peers.h
+++ b/tests/net/peers.h
@@ -18,6 +18,7 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <map>
 #include <string>
 #include <utility>
@@ -145,7 +146,7 @@
 }
 
 struct Setup {
-  std::string known;
+  std::string known = {};
   uint16_t discovery = 1;
   int sockets = 1024;
   int connect_timeout = 1000000;
@@ -169,6 +170,26 @@
          R"(},"Rules":{"AnswerSlack":20000,"DrainGrace":750000,"MustAskIn":10000000}}})";
 }
 
+// A file for as long as the test runs.
+class TextFile {
+ public:
+  explicit TextFile(const std::string& text = "") { Write(text); }
+  TextFile(const TextFile&) = delete;
+  ~TextFile() { std::filesystem::remove_all(path); }
+  void Write(const std::string& text) const { std::ofstream(path) << text; }
+  std::string Text() const {
+    std::ifstream file(path);
+    return {std::istreambuf_iterator<char>(file), {}};
+  }
+  const std::string path = "burlfall_test_" + std::to_string(getpid()) + "_" + std::to_string(++Made());
+
+ private:
+  static int& Made() {
+    static int made = 0;
+    return made;
+  }
+};
+
 // The program, as its operators start it.
 class Program {
  public:
@@ -205,6 +226,7 @@
   }
   void Configure(const std::string& config) const { std::ofstream(path_) << config; }
   void Signal(int signal) const { kill(pid_, signal); }
+  int fd() const { return out_.get(); }  // what it writes
   long Descriptors() const {
     std::filesystem::directory_iterator all("/proc/" + std::to_string(pid_) + "/fd");
     return std::distance(begin(all), end(all));
