Door limits: a token bucket for each caller, and 429 with the time until the next token

Wanted: one operator's faulty app must not starve the others' slot releases. features/door keeps a bucket for each tenant or address, found in O(1), the one seen least lately forgotten first, its place used again. client_link asks it once the query is whole and before the module hears of it, so the link stays usable and nothing is owed.

Checked: 8 new tests (the time told is enough at seven rates and not 2 us too long; a table of 3 under 20000 made-up callers; SIGHUP changes rates and keeps what was used; 429 over real sockets with no attempt sent).

--- a/src/features/properties.cpp
+++ b/src/features/properties.cpp
@@ -46,6 +46,18 @@
   return number;
 }
 
+double Decimal(const std::string& value, double least, double most) {
+  double number = 0;
+  auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), number);
+  if (error != std::errc() || end != value.data() + value.size() || !std::isfinite(number) ||
+      number < least || number > most) {
+    std::ostringstream range;
+    range << "not a number from " << least << " to " << most << ": " << Short(value);
+    throw BadConfig(range.str());
+  }
+  return number;
+}
+
 std::string Name(const std::string& value, const char* what) {
   if (value.empty()) throw BadConfig(std::string("no ") + what);
   return value;
@@ -74,6 +86,46 @@
   };
 }
 
+// Rates and bursts come in any order, and where a caller has only one of the two the other is that of
+// `default`.
+struct DoorLines {
+  std::map<std::string, double> rates;
+  std::map<std::string, double> bursts;
+
+  void Into(DoorSettings& door) const {
+    auto given = [](const std::map<std::string, double>& all, const std::string& key, double fallback) {
+      auto it = all.find(key);
+      return it == all.end() ? fallback : it->second;
+    };
+    door.others.per_s = given(rates, "default", door.others.per_s);
+    door.others.burst = given(bursts, "default", door.others.burst);
+    for (const auto* all : {&rates, &bursts}) {
+      for (const auto& [key, value] : *all) {
+        if (key == "default") continue;
+        door.own[key] = {given(rates, key, door.others.per_s), given(bursts, key, door.others.burst)};
+      }
+    }
+  }
+};
+
+void DoorKeys(Setters& keys, DoorSettings& door, DoorLines& lines) {
+  keys["door.key"] = [&](const std::string& value, const std::string&) {
+    if (value != "tenant" && value != "address") {
+      throw BadConfig("neither tenant nor address: " + Short(value));
+    }
+    door.by_address = value == "address";
+  };
+  keys["door.max_keys"] = [&](const std::string& value, const std::string&) {
+    door.max_keys = static_cast<size_t>(Whole(value, 1, 1000000));
+  };
+  keys["door.rate.*"] = [&](const std::string& value, const std::string& key) {
+    lines.rates[key] = Decimal(value, 0, 1e6);
+  };
+  keys["door.burst.*"] = [&](const std::string& value, const std::string& key) {
+    lines.bursts[key] = Decimal(value, 1, 1e6);
+  };
+}
+
 const Setters::value_type* Match(const Setters& keys, const std::string& key) {
   for (const auto& entry : keys) {
     std::string_view name = entry.first;
@@ -91,6 +143,7 @@
     if (on) names.append(names.empty() ? "" : ", ").append(name);
   };
   add(figures.on, "figures");
+  add(door.on, "door");
   return names.empty() ? "none" : names;
 }
 
@@ -98,7 +151,10 @@
   Properties properties;
   Setters keys;
   FiguresKeys(keys, properties.figures);
-  const std::map<std::string, bool*> features = {{"figures", &properties.figures.on}};
+  DoorLines door;
+  DoorKeys(keys, properties.door, door);
+  const std::map<std::string, bool*> features = {{"figures", &properties.figures.on},
+                                                 {"door", &properties.door.on}};
 
   options::options_description known;
   for (const auto& [key, set] : keys) known.add_options()(key.c_str(), options::value<std::string>());
@@ -134,6 +190,7 @@
     }
   }
   for (const auto& [feature, on] : enabled) *features.at(feature) = on;
+  door.Into(properties.door);
   return properties;
 }
 
--- a/src/features/properties.h
+++ b/src/features/properties.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <unordered_map>
 
 #include "net/config.h"
 #include "net/scheduler.h"
@@ -21,8 +22,21 @@
   size_t batch_bytes = 1400;
 };
 
+struct DoorSettings {
+  struct Rate {
+    double per_s = 20;
+    double burst = 40;
+  };
+  bool on = false;
+  bool by_address = false;  // callers are told apart by their tenant otherwise
+  size_t max_keys = 10000;
+  Rate others;                                // who has no lines of its own
+  std::unordered_map<std::string, Rate> own;  // by key
+};
+
 struct Properties {
   FiguresSettings figures;
+  DoorSettings door;
 
   std::string On() const;  // the features that are on, by name
 };
--- a/src/net/agent.cpp
+++ b/src/net/agent.cpp
@@ -67,6 +67,7 @@
   if (properties.figures.on) {
     figures_ = std::make_unique<Figures>(scheduler, properties.figures, config_.settings, errors, counters_);
   }
+  door_.Configure(properties.door);
   listener_.emplace(scheduler, Listen(config_.listen));
 }
 
@@ -109,7 +110,8 @@
   return same;
 }
 
-void Agent::Reload(const Properties&) {
+void Agent::Reload(const Properties& properties) {
+  door_.Configure(properties.door);
   if (figures_) figures_->Reopen();
 }
 
--- a/src/net/agent.h
+++ b/src/net/agent.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "features/door.h"
 #include "features/figures.h"
 #include "features/properties.h"
 #include "meadowslip/balancer.h"
@@ -53,6 +54,7 @@
   // For the client links.
   const meadowslip::Settings& settings() const { return config_.settings; }
   Counters& counters() { return counters_; }
+  Door& door() { return door_; }
   Figures* figures() { return figures_.get(); }  // nullptr: off
   bool up() const { return phase_ == Phase::kServing; }
   bool draining() const { return phase_ > Phase::kServing; }
@@ -114,6 +116,7 @@
   Config config_;
   Counters counters_;
   std::unique_ptr<Figures> figures_;
+  Door door_;
   Phase phase_ = Phase::kStarting;
   Micros phase_ends_ = kNever;
   size_t most_links_ = 0;  // clients' and servers' together
--- a/src/net/client_link.cpp
+++ b/src/net/client_link.cpp
@@ -1,5 +1,6 @@
 #include "net/client_link.h"
 
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -8,6 +9,7 @@
 #include <charconv>
 #include <cmath>
 #include <cstdio>
+#include <optional>
 #include <utility>
 
 #include "net/agent.h"
@@ -140,16 +142,17 @@
   const meadowslip::Settings& settings = agent_.settings();
   std::string_view path = std::string_view(message.target).substr(0, message.target.find('?'));
   int request_class = Position(settings.classes, PlainName(FirstPart(message.target)));
-  if (message.Find(platform::kTraceId) == nullptr) {
-    bool get = message.method == "GET";
-    if (get && path == platform::kUpPath) {
-      Answer(agent_.up() ? 200 : 503, "", agent_.up() ? "up\n" : "not serving\n");
-    } else if (get && path == platform::kCountersPath) {
-      Answer(200, "", agent_.counters().Text() + "\n");
-    } else {
-      ++agent_.counters().bad;
-      Answer(request_class < 0 ? 404 : 400, "", "");
-    }
+  const bool named = message.Find(platform::kTraceId) != nullptr;
+  const bool ours = !named && message.method == "GET";
+  if (ours && path == platform::kUpPath) {
+    Answer(agent_.up() ? 200 : 503, "", agent_.up() ? "up\n" : "not serving\n");
+  } else if (ours && path == platform::kCountersPath) {
+    Answer(200, "", agent_.counters().Text() + "\n");
+  } else if ((named || request_class >= 0) && TurnedAway(message, request_class)) {
+    // Answered; the module does not hear of it.
+  } else if (!named) {
+    ++agent_.counters().bad;
+    Answer(request_class < 0 ? 404 : 400, "", "");
   } else if (FirstPart(message.target).empty()) {
     ++agent_.counters().bad;
     Answer(404, "", "");
@@ -184,6 +187,52 @@
   co_return written && !last_;
 }
 
+// The gates that the operators set, before anything else hears of the query. True where it was answered here.
+bool ClientLink::TurnedAway(const HttpMessage& message, int request_class) {
+  const std::string* tenant = message.Find(platform::kTenant);
+  auto count = [&](Figure why) {
+    if (Figures* figures = agent_.figures()) {
+      Figures::Series series = figures->Of(request_class, tenant);
+      figures->Add(series, Figure::kRequests);
+      figures->Add(series, why);
+    }
+  };
+  Door& door = agent_.door();
+  if (!door.on()) return false;
+  std::string key = platform::kNobody;
+  if (door.by_address()) {
+    key = PeerAddress();
+  } else if (tenant != nullptr && !tenant->empty()) {
+    key = *tenant;
+  }
+  const std::optional<Micros> wait = door.Refuses(key, socket_.scheduler().Now());
+  if (!wait) return false;
+  ++agent_.counters().limited;
+  count(Figure::kLimited);
+  std::string headers;
+  if (*wait != kNever) AppendHeader(headers, platform::kRetryAfter, Door::Seconds(*wait));
+  Answer(429, headers, "");
+  return true;
+}
+
+std::string ClientLink::PeerAddress() const {
+  sockaddr_storage at{};
+  socklen_t length = sizeof at;
+  char text[INET6_ADDRSTRLEN] = "";
+  if (getpeername(socket_.fd(), reinterpret_cast<sockaddr*>(&at), &length) != 0) return platform::kNobody;
+  if (at.ss_family == AF_INET) {
+    inet_ntop(AF_INET, &reinterpret_cast<sockaddr_in*>(&at)->sin_addr, text, sizeof text);
+  } else {
+    inet_ntop(AF_INET6, &reinterpret_cast<sockaddr_in6*>(&at)->sin6_addr, text, sizeof text);
+  }
+  constexpr std::string_view kMapped = "::ffff:";  // an IPv4 caller at an IPv6 listener
+  std::string_view address = text;
+  if (address.starts_with(kMapped) && address.find('.') != std::string_view::npos) {
+    address.remove_prefix(kMapped.size());
+  }
+  return std::string(address);
+}
+
 // What comes while a query runs belongs to the next one; false where the client has closed the link.
 bool ClientLink::Listen() {
   while (in_.size() < kMostHead + kMostBody) {  // beyond that the client waits
--- a/src/net/client_link.h
+++ b/src/net/client_link.h
@@ -44,6 +44,8 @@
   Task<bool> ReadQuery();
   Task<bool> Handle();
   Task<bool> WriteAnswer();
+  bool TurnedAway(const HttpMessage& message, int request_class);
+  std::string PeerAddress() const;
   Task<> Linger();
   bool Continue();
   bool Listen();
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -27,6 +27,7 @@
   add("moot", moot);
   add("lists", lists);
   add("lists_failed", lists_failed);
+  if (limited > 0) add("limited", limited);
   if (figures_dropped > 0) add("figures_dropped", figures_dropped);
   return text;
 }
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -82,6 +82,8 @@
       return "Request Timeout";
     case 413:
       return "Content Too Large";
+    case 429:
+      return "Too Many Requests";
     case 502:
       return "Bad Gateway";
     case 503:
--- a/src/net/platform.h
+++ b/src/net/platform.h
@@ -12,6 +12,7 @@
 inline constexpr char kSecondTry[] = "X-Second-Try";
 inline constexpr char kSizeHint[] = "X-Size-Hint";  // microseconds of work
 inline constexpr char kNeverRan[] = "X-Never-Ran";
+inline constexpr char kNobody[] = "-";  // stands for a tenant where a query names none
 inline constexpr char kRetryAfter[] = "Retry-After";
 
 // Paths: ours, and discovery's.
--- /dev/null
+++ b/tests/features/door_test.cpp
@@ -0,0 +1,176 @@
+// Door limits: the buckets, their bounds, and what a client is told.
+#include "features/door.h"
+
+#include "peers.h"
+
+namespace burlfall {
+namespace {
+
+DoorSettings Limits(double per_s, double burst) {
+  DoorSettings settings;
+  settings.on = true;
+  settings.others = {per_s, burst};
+  return settings;
+}
+
+std::string Header(const std::string& answer, const std::string& name) {
+  size_t at = answer.find(name + ": ");
+  if (at == std::string::npos) return "";
+  at += name.size() + 2;
+  return answer.substr(at, answer.find("\r\n", at) - at);
+}
+
+std::string By(const std::string& tenant) { return tenant.empty() ? "" : "X-Customer: " + tenant + "\r\n"; }
+
+}  // namespace
+
+TEST_CASE("a caller may send its burst, then its rate, and is told when the next token is back") {
+  Door door;
+  CHECK_FALSE(door.Refuses("a", 0));  // off
+  door.Configure(Limits(50, 3));
+  Micros now = 1000 * kSecond;
+  for (int i = 0; i < 3; ++i) CHECK_FALSE(door.Refuses("a", now));
+  CHECK(door.Refuses("a", now) == 20000);
+  CHECK(door.Refuses("a", now + 5000) == 15000);
+  CHECK_FALSE(door.Refuses("b", now));  // each for itself
+  CHECK_FALSE(door.Refuses("a", now + 20000));
+  CHECK(door.Refuses("a", now + 20000) == 20000);
+  now += 3600 * kSecond;  // no more than the burst is saved up
+  for (int i = 0; i < 3; ++i) CHECK_FALSE(door.Refuses("a", now));
+  CHECK(door.Refuses("a", now));
+  CHECK(door.Refuses("a", now - kSecond));  // a clock that steps back gives nothing, and takes nothing
+}
+
+TEST_CASE("at any rate the time that a caller is told is enough") {
+  for (double rate : {0.3, 1.0, 3.0, 7.0, 33.3, 999.0, 100000.0}) {
+    CAPTURE(rate);
+    Door door;
+    door.Configure(Limits(rate, 1));
+    Micros now = 1000 * kSecond;
+    for (int i = 0; i < 50; ++i) {
+      CHECK_FALSE(door.Refuses("a", now));
+      std::optional<Micros> wait = door.Refuses("a", now);
+      REQUIRE(wait);
+      if (*wait > 1) CHECK(door.Refuses("a", now + *wait - 2));
+      now += *wait;
+    }
+  }
+}
+
+TEST_CASE("seconds are rounded up and written as short as they go") {
+  CHECK(Door::Seconds(20000) == "0.02");
+  CHECK(Door::Seconds(20001) == "0.021");
+  CHECK(Door::Seconds(1) == "0.001");
+  CHECK(Door::Seconds(0) == "0.001");
+  CHECK(Door::Seconds(100 * kMs) == "0.1");
+  CHECK(Door::Seconds(2 * kSecond) == "2");
+  CHECK(Door::Seconds(10 * kSecond) == "10");
+  CHECK(Door::Seconds(1050 * kMs) == "1.05");
+}
+
+TEST_CASE("a rate of nothing refuses everything, for good") {
+  DoorSettings settings = Limits(20, 40);
+  settings.own["shut"] = {0, 40};
+  Door door;
+  door.Configure(settings);
+  CHECK(door.Refuses("shut", kSecond) == kNever);
+  CHECK(door.Refuses("shut", 9000 * kSecond) == kNever);
+  CHECK_FALSE(door.Refuses("open", kSecond));
+}
+
+TEST_CASE("the table stays bounded and forgets the caller seen least lately") {
+  DoorSettings settings = Limits(0.001, 1);
+  settings.max_keys = 3;
+  Door door;
+  door.Configure(settings);
+  for (std::string key : {"a", "b", "c"}) CHECK_FALSE(door.Refuses(key, 1));
+  CHECK(door.Refuses("a", 2));        // seen again: now b is the oldest
+  CHECK_FALSE(door.Refuses("d", 3));  // takes the place of b
+  CHECK(door.Refuses("a", 4));
+  CHECK(door.Refuses("c", 4));
+  CHECK_FALSE(door.Refuses("b", 5));
+  for (int i = 0; i < 10000; ++i) door.Refuses(std::string(1000, 'x').append(std::to_string(i)), 6);
+  for (int i = 0; i < 10000; ++i) door.Refuses(std::to_string(i), 6);
+  CHECK(door.known() == 3);
+}
+
+TEST_CASE("new rates hold at once, and callers keep what they have used") {
+  Door door;
+  door.Configure(Limits(1, 10));
+  for (int i = 0; i < 10; ++i) CHECK_FALSE(door.Refuses("a", kSecond));
+  DoorSettings settings = Limits(1, 10);
+  settings.own["a"] = {100, 20};
+  door.Configure(settings);
+  CHECK(door.Refuses("a", kSecond) == 10000);
+  settings.by_address = true;
+  door.Configure(settings);
+  CHECK(door.known() == 0);
+}
+
+TEST_CASE("an excess query is answered 429 at the door, reaches no server, and its link stays usable") {
+  Peer server;
+  TextFile file(
+      "door.rate.wechselstrom-aare = 50\ndoor.burst.wechselstrom-aare = 2\ndoor.rate.shut = 0\n"
+      "door.rate.default = 0.001\ndoor.burst.default = 1\n");
+  Program program(ConfigText({.known = Entry("s-1", server.port)}), {"serve", "--config", file.path});
+  Link client = Link::To(program.port);
+  std::optional<Link> link;
+  auto served = [&](const std::string& tenant) {
+    client.Write("POST /open HTTP/1.1\r\nX-Trace-Id: t\r\n" + By(tenant) + "Content-Length: 4\r\n\r\nbody");
+    if (!link) link.emplace(server.Accept());
+    CHECK(link->Read().ends_with("body"));
+    link->Write(Ok("fine"));
+    CHECK(client.Read().ends_with("fine"));
+  };
+  auto refused = [&](const std::string& tenant) {
+    client.Write("POST /open HTTP/1.1\r\nX-Trace-Id: t\r\n" + By(tenant) + "Content-Length: 4\r\n\r\nbody");
+    std::string answer = client.Read();
+    CHECK(answer.starts_with("HTTP/1.1 429 Too Many Requests\r\n"));
+    return Header(answer, "Retry-After");
+  };
+  CHECK(refused("shut").empty());
+  served("");
+  double wait = std::stod(refused(""));
+  CHECK(wait > 900);
+  CHECK(wait <= 1000);
+  CHECK(std::stod(refused("-")) > 900);  // the same key
+  served("akku-punkt-lu");
+  refused("akku-punkt-lu");
+  // As often as it takes to be too fast: at 50 a second a slow machine may earn tokens meanwhile.
+  std::string told;
+  for (int i = 0; i < 500 && told.empty(); ++i) {
+    std::string burst;
+    for (int k = 0; k < 4; ++k) burst += "GET /look HTTP/1.1\r\n" + By("wechselstrom-aare") + "\r\n";
+    client.Write(burst);  // names a class, but has no trace id: 400 once it is through the door
+    for (int k = 0; k < 4; ++k) {
+      std::string answer = client.Read();
+      if (answer.starts_with("HTTP/1.1 429 ")) told = Header(answer, "Retry-After");
+    }
+  }
+  CHECK(std::stod(told) > 0);
+  CHECK(std::stod(told) <= 0.02);
+  client.Write("GET /up HTTP/1.1\r\n\r\n");
+  CHECK(client.Read().starts_with("HTTP/1.1 200 "));
+
+  file.Write("door.rate.default = 1000\n");
+  program.Signal(SIGHUP);
+  program.Line();
+  CHECK(program.Line().starts_with("burlfall: properties read anew"));
+  served("shut");
+  CHECK(program.Wait(SIGTERM) == 0);
+  CHECK(program.output.find(" limited=") != std::string::npos);
+  CHECK(program.output.find(" sent=3 ") != std::string::npos);
+}
+
+TEST_CASE("callers may be told apart by their address") {
+  Peer server;
+  TextFile file("door.key = address\ndoor.rate.127.0.0.1 = 0.001\ndoor.burst.127.0.0.1 = 1\n");
+  Program program(ConfigText({.known = Entry("s-1", server.port)}), {"serve", "--config", file.path});
+  for (int i = 0; i < 2; ++i) {
+    Link client = Link::To(program.port);  // from another port each time
+    client.Write("GET /look HTTP/1.1\r\n" + By(std::string("t").append(std::to_string(i))) + "\r\n");
+    CHECK(client.Read().starts_with(i == 0 ? "HTTP/1.1 400 " : "HTTP/1.1 429 "));
+  }
+}
+
+}  // namespace burlfall
--- a/tests/features/properties_test.cpp
+++ b/tests/features/properties_test.cpp
@@ -59,6 +59,15 @@
     CHECK(Complaint("figures.flush_ms = " + bad).find("figures.flush_ms: not a whole number") == 0);
     CHECK(Complaint("figures.batch_bytes = " + bad).find("figures.batch_bytes: not a whole number") == 0);
   }
+  CHECK(Complaint("door.key = colour") == "door.key: neither tenant nor address: colour");
+  CHECK(Complaint("door.rate. = 5") == "unknown key door.rate.");
+  CHECK(Complaint("door.rates.a = 5") == "unknown key door.rates.a");
+  for (std::string bad : {"", "-1", "x", "nan", "inf", "1e9", "5/s"}) {
+    CAPTURE(bad);
+    CHECK(Complaint("door.rate.a = " + bad).find("door.rate.a: not a number from 0") == 0);
+    CHECK(Complaint("door.burst.default = " + bad).find("door.burst.default: not a number from 1") == 0);
+  }
+  CHECK(Complaint("door.max_keys = 0").find("door.max_keys: not a whole number") == 0);
   CHECK(Complaint("just words") == "a line that is not key = value");
 }
 
