The module saves its state and takes it over, by one list of fields for both

Each struct of src/policy.cpp lists its fields once; src/state.h writes and reads them, with a sum over all. Left out is what follows from the settings, and the look-up by id, which is made anew. Unordered maps are written by key.

A state that is cut, bent or of other settings is refused.

--- a/include/meadowslip/balancer.h
+++ b/include/meadowslip/balancer.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace meadowslip {
@@ -161,6 +162,11 @@
   void OnTimer(Micros now, uint64_t timer, ActionSink& actions);
   void OnProbe(Micros now, const ProbeResult& result, ActionSink& actions);
 
+  // All that the node has learned and holds, between two events; and a node of the same settings that takes
+  // it over and acts alike from there on. False where it is no such state: the node is of no use then.
+  std::string Save() const;
+  bool Load(std::string_view saved);
+
  private:
   class Node;
   std::unique_ptr<Node> node_;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "meadowslip/balancer.h"
+#include "state.h"
 
 namespace meadowslip {
 namespace {
@@ -101,6 +102,13 @@
   Micros probed_at = -kLongestSleep;
   double payoff = 0;
   double pace = 1;
+
+  void Fields(auto& a) {
+    a(id, state, zone, cell, kind, size, rank, failures, failing, asleep, only, sleep, wake_at, lost_at);
+    a(up_since, trial_out, others_served, served, refused_connections, turned_away, cold_from, cold_until);
+    a(credited_at, credit, first_work, in_flight, overdue, limit, full_until, reported, reported_at);
+    a(probed_at, payoff, pace);
+  }
 };
 
 struct Attempt {
@@ -111,6 +119,8 @@
   bool trial = false;
   bool overdue = false;  // no answer for far longer than usual
   Micros due_at = 0;
+
+  void Fields(auto& a) { a(backend, sent_at, out, may_have_run, trial, overdue, due_at); }
 };
 
 struct Held {
@@ -128,6 +138,12 @@
   int out = 0;
   uint64_t passed_over = 0;  // in this round of sends
   std::array<Attempt, kMostAttempts> attempts;
+
+  void Fields(auto& a) {
+    a(id, cls, closed, streaming, waiting, worth, arrived, give_up_at, hold_until, size, sent, out);
+    a(passed_over);
+    for (int k = 0; k < std::clamp(sent, 0, kMostAttempts); ++k) a(attempts[k]);
+  }
 };
 
 struct Learned {       // for each class
@@ -136,11 +152,15 @@
   double calm = 0;     // the same, of answers while the node was not crowded
   int samples = 0;
   double work = 0;  // mean of the estimates
+
+  void Fields(auto& a) { a(latency, spread, calm, samples, work); }
 };
 
 struct Bucket {
   double tokens = 0;
   Micros filled_at = 0;
+
+  void Fields(auto& a) { a(tokens, filled_at); }
 };
 
 }  // namespace
@@ -895,6 +915,42 @@
     return true;
   }
 
+  // ---- State: one list of fields that saves and loads; what follows from the settings is not in it ------
+
+  void Fields(auto& a) {
+    std::vector<RequestId> queue;
+    for (const Held* r : waiting_) queue.push_back(r->id);
+    a(random_, backends_, held_, queue, round_, trial_due_, room_, none_in_service_, kinds_, order_,
+      members_);
+    a(ranked_, chosen_, sparse_, sharers_, spare_, surveyed_at_, learned_, buckets_, out_, node_limit_,
+      usual_);
+    a(least_, zone_limit_, zone_out_, zones_, probes_out_, retry_tokens_, subscribed_, ask_at_, ask_wait_);
+    a(tick_set_);
+    if (!a.kLoads) return;
+    waiting_.clear();
+    for (RequestId id : queue) waiting_.push_back(held_.contains(id) ? &held_.at(id) : nullptr);
+    index_.clear();
+    for (uint32_t i = 0; i < backends_.size(); ++i) index_.emplace(backends_[i].id, i);
+  }
+
+  bool Load(std::string_view saved) {
+    state::Reader in(saved);
+    Fields(in);
+    auto known = [this](uint32_t i) { return i < backends_.size(); };
+    auto sound = [this](const Backend& b) { return b.kind >= 0 && b.kind < std::ssize(kinds_); };
+    auto fits = [&](const auto& held) {
+      const Held& r = held.second;
+      return r.id == held.first && r.cls >= 0 && r.cls < std::ssize(learned_) && r.sent >= 0 &&
+             r.sent <= kMostAttempts &&
+             std::all_of(r.attempts.begin(), r.attempts.begin() + r.sent,
+                         [&](const Attempt& a) { return known(a.backend); });
+    };
+    return in.Whole() && learned_.size() == set_.classes.size() && buckets_.size() == set_.tenants.size() &&
+           std::ranges::all_of(order_, known) && std::ranges::all_of(members_, known) &&
+           std::ranges::all_of(backends_, sound) && std::ranges::all_of(held_, fits) &&
+           std::ranges::all_of(waiting_, [](const Held* r) { return r != nullptr && r->waiting; });
+  }
+
   double Uniform() { return static_cast<double>(random_() >> 11) * 0x1.0p-53; }
   size_t Below(size_t n) { return static_cast<size_t>(Uniform() * static_cast<double>(n)); }
 
@@ -959,6 +1015,12 @@
   node_->At(t, a, &Node::OnClientLeft, id);
 }
 void Balancer::OnTimer(Micros t, uint64_t timer, ActionSink& a) { node_->At(t, a, &Node::OnTimer, timer); }
+std::string Balancer::Save() const {
+  state::Writer out;
+  node_->Fields(out);
+  return out.Take();
+}
+bool Balancer::Load(std::string_view saved) { return node_->Load(saved); }
 void Balancer::OnProbe(Micros t, const ProbeResult& r, ActionSink& a) { node_->At(t, a, &Node::OnProbe, r); }
 
 }  // namespace meadowslip
--- /dev/null
+++ b/src/state.h
@@ -0,0 +1,171 @@
+// Bytes for what the module keeps: a list of fields, written and read by the same words. No decisions are
+// made here.
+#ifndef MEADOWSLIP_SRC_STATE_H_
+#define MEADOWSLIP_SRC_STATE_H_
+
+#include <algorithm>
+#include <bit>
+#include <cstddef>
+#include <cstdint>
+#include <random>
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <unordered_map>
+#include <vector>
+
+namespace meadowslip::state {
+
+template <typename T>
+concept Number = std::is_arithmetic_v<T> || std::is_enum_v<T>;
+
+// Integers in steps of seven bits, signed ones folded so that small ones stay small; doubles as they are.
+class Writer {
+ public:
+  static constexpr bool kLoads = false;
+  void operator()(auto&... fields) { (Put(fields), ...); }
+  // With a sum over all, which Reader::Whole() checks.
+  std::string Take();
+
+ private:
+  void Bits(uint64_t value) {
+    for (; value >= 0x80; value >>= 7) out_ += static_cast<char>(value | 0x80);
+    out_ += static_cast<char>(value);
+  }
+  void Fixed(uint64_t value) {
+    for (int shift = 0; shift < 64; shift += 8) out_ += static_cast<char>(value >> shift);
+  }
+  template <Number T>
+  void Put(T value) {
+    if constexpr (std::is_floating_point_v<T>) {
+      Fixed(std::bit_cast<uint64_t>(static_cast<double>(value)));
+    } else if constexpr (std::is_unsigned_v<T>) {
+      Bits(value);
+    } else {
+      const auto wide = static_cast<int64_t>(value);
+      Bits(static_cast<uint64_t>(wide) << 1 ^ static_cast<uint64_t>(wide >> 63));
+    }
+  }
+  template <typename T>
+  requires requires(T& t, Writer& w) { t.Fields(w); }
+  void Put(T& one) { one.Fields(*this); }
+  template <typename T>
+  void Put(std::vector<T>& all) {
+    Bits(all.size());
+    for (T& one : all) Put(one);
+  }
+  // By key: the order in which such a map is walked says nothing, and differs after loading.
+  template <typename Key, typename T>
+  void Put(std::unordered_map<Key, T>& all) {
+    std::vector<Key> keys;
+    for (auto& [key, one] : all) keys.push_back(key);
+    std::sort(keys.begin(), keys.end());
+    Bits(keys.size());
+    for (const Key& key : keys) {
+      Put(key);
+      Put(all.at(key));
+    }
+  }
+  void Put(std::mt19937_64& random) {
+    std::stringstream text;
+    text << random;
+    for (uint64_t word = 0; text >> word;) Fixed(word);
+  }
+
+  friend class Reader;
+  static uint64_t Sum(std::string_view bytes) {
+    uint64_t sum = 14695981039346656037u;
+    for (char c : bytes) sum = (sum ^ static_cast<unsigned char>(c)) * 1099511628211u;
+    return sum;
+  }
+  std::string out_;
+};
+
+inline std::string Writer::Take() {
+  Fixed(Sum(out_));
+  return std::move(out_);
+}
+
+// What can't be read leaves the field as it was, and Whole() says so at the end.
+class Reader {
+ public:
+  static constexpr bool kLoads = true;
+  explicit Reader(std::string_view bytes) {
+    if (bytes.size() < 8) return;
+    in_ = bytes.substr(0, bytes.size() - 8);
+    const std::string_view body = in_;
+    in_ = bytes.substr(body.size());
+    good_ = Fixed() == Writer::Sum(body);
+    in_ = body;
+  }
+  void operator()(auto&... fields) { (Get(fields), ...); }
+  bool Whole() const { return good_ && in_.empty(); }
+
+ private:
+  uint8_t Byte() {
+    if (in_.empty()) return good_ = false, uint8_t{0};
+    const auto byte = static_cast<uint8_t>(in_.front());
+    in_.remove_prefix(1);
+    return byte;
+  }
+  uint64_t Bits() {
+    uint64_t value = 0;
+    for (int shift = 0; shift < 64 && good_; shift += 7) {
+      const uint8_t byte = Byte();
+      value |= static_cast<uint64_t>(byte & 0x7f) << shift;
+      if (byte < 0x80) break;
+    }
+    return value;
+  }
+  uint64_t Fixed() {
+    uint64_t value = 0;
+    for (int shift = 0; shift < 64; shift += 8) value |= static_cast<uint64_t>(Byte()) << shift;
+    return value;
+  }
+  size_t Count() {  // no more than there can be: each takes a byte at the least
+    const uint64_t n = Bits();
+    if (n > in_.size()) good_ = false;
+    return good_ ? static_cast<size_t>(n) : 0;
+  }
+  template <Number T>
+  void Get(T& value) {
+    if constexpr (std::is_floating_point_v<T>) {
+      value = static_cast<T>(std::bit_cast<double>(Fixed()));
+    } else if constexpr (std::is_unsigned_v<T>) {
+      value = static_cast<T>(Bits());
+    } else {
+      const uint64_t folded = Bits();
+      value = static_cast<T>(static_cast<int64_t>(folded >> 1 ^ (0 - (folded & 1))));
+    }
+  }
+  template <typename T>
+  requires requires(T& t, Reader& r) { t.Fields(r); }
+  void Get(T& one) { one.Fields(*this); }
+  template <typename T>
+  void Get(std::vector<T>& all) {
+    all.assign(Count(), T());
+    for (T& one : all) Get(one);
+  }
+  template <typename Key, typename T>
+  void Get(std::unordered_map<Key, T>& all) {
+    all.clear();
+    for (size_t n = Count(); n > 0 && good_; --n) {
+      Key key{};
+      Get(key);
+      Get(all[key]);
+    }
+  }
+  void Get(std::mt19937_64& random) {
+    std::stringstream text;
+    for (size_t i = 0; i <= std::mt19937_64::state_size; ++i) text << Fixed() << ' ';
+    if (!(text >> random)) good_ = false;
+  }
+
+  std::string_view in_;
+  bool good_ = false;
+};
+
+}  // namespace meadowslip::state
+
+#endif  // MEADOWSLIP_SRC_STATE_H_
--- a/tests/bench.h
+++ b/tests/bench.h
@@ -3,6 +3,7 @@
 #define MEADOWSLIP_TESTS_BENCH_H_
 
 #include <map>
+#include <string>
 #include <vector>
 
 #include "meadowslip/balancer.h"
@@ -89,6 +90,16 @@
   }
   void StreamStarted(RequestId id, int attempt) { node_.OnStreamStarted(now, id, attempt, *this); }
 
+  // Goes on from where another one is.
+  bool TakeOver(const Bench& other) {
+    now = other.now;
+    last_id_ = other.last_id_;
+    timers_ = other.timers_;
+    return node_.Load(other.node_.Save());
+  }
+  std::string Saved() const { return node_.Save(); }
+  bool Load(const std::string& saved) { return node_.Load(saved); }
+
   // Moves the clock on, running the timers that fall due.
   void Pass(Micros span) {
     Micros end = now + span;
