Capture what enters the module and what it chose, in a ring that replays without sockets

Wanted: when a swap is billed twice, see what burlfall knew and chose. features/capture stands beside the module and records each event with its time and each choice. capture_record has one list of fields for each kind of record, which serves the bytes in memory and the JSON lines alike. The ring is made of segments that begin with the module's state; in memory they are bytes, and lines are made only when SIGUSR1 asks, a piece a turn.

Seen while testing: the counters of a SIGUSR1 were lost where a dump of more than 16 KB was in the way, since Outlet counted the rest of a begun line with the lines that wait; the two are kept apart now. A file whose head has no room would have pushed out the older files one a second; it is measured before any file is touched.

--- /dev/null
+++ b/src/features/capture_replay.h
@@ -0,0 +1,21 @@
+// Replays a capture: feeds its records to the module, without any socket, and compares what it chooses.
+#ifndef BURLFALL_FEATURES_CAPTURE_REPLAY_H_
+#define BURLFALL_FEATURES_CAPTURE_REPLAY_H_
+
+#include <ostream>
+#include <string>
+
+namespace burlfall {
+
+constexpr int kSame = 0;
+constexpr int kDiffers = 1;
+constexpr int kNoCapture = 2;  // an unknown kind of record, or nothing that can be replayed
+
+// `config` names the operators' properties, or a platform's configuration whose settings then go before the
+// captured ones. Lines that differ go to `out`, and a last line that says how many; what is wrong goes to
+// `errors`. Throws BadConfig where a file can't be read.
+int Replay(const std::string& capture, const std::string& config, std::ostream& out, std::ostream& errors);
+
+}  // namespace burlfall
+
+#endif  // BURLFALL_FEATURES_CAPTURE_REPLAY_H_
--- a/src/features/figures.cpp
+++ b/src/features/figures.cpp
@@ -217,7 +217,8 @@
   batch.text.append(line).append("\n");
   batch.figures += figures;
   waiting_bytes_ += line.size() + 1;
-  while (waiting_bytes_ + out_.kept() > kMostWaiting && waiting_.size() > 1) {
+  // One batch more may be in the outlet, taken in part.
+  while (waiting_bytes_ + most > kMostWaiting && waiting_.size() > 1) {
     Dropped(waiting_.front().figures);
     waiting_bytes_ -= waiting_.front().text.size();
     waiting_.pop_front();
--- a/src/features/properties.cpp
+++ b/src/features/properties.cpp
@@ -126,6 +126,21 @@
   };
 }
 
+void CaptureKeys(Setters& keys, CaptureSettings& capture) {
+  keys["capture.memory_kb"] = [&](const std::string& value, const std::string&) {
+    capture.memory_kb = static_cast<size_t>(Whole(value, 64, 1048576));
+  };
+  keys["capture.dir"] = [&](const std::string& value, const std::string&) {
+    capture.dir = Name(value, "folder");
+  };
+  keys["capture.files"] = [&](const std::string& value, const std::string&) {
+    capture.files = static_cast<size_t>(Whole(value, 2, 10000));
+  };
+  keys["capture.file_kb"] = [&](const std::string& value, const std::string&) {
+    capture.file_kb = static_cast<size_t>(Whole(value, 64, 1048576));
+  };
+}
+
 const Setters::value_type* Match(const Setters& keys, const std::string& key) {
   for (const auto& entry : keys) {
     std::string_view name = entry.first;
@@ -144,6 +159,7 @@
   };
   add(figures.on, "figures");
   add(door.on, "door");
+  add(capture.on, "capture");
   return names.empty() ? "none" : names;
 }
 
@@ -151,10 +167,12 @@
   Properties properties;
   Setters keys;
   FiguresKeys(keys, properties.figures);
+  CaptureKeys(keys, properties.capture);
   DoorLines door;
   DoorKeys(keys, properties.door, door);
   const std::map<std::string, bool*> features = {{"figures", &properties.figures.on},
-                                                 {"door", &properties.door.on}};
+                                                 {"door", &properties.door.on},
+                                                 {"capture", &properties.capture.on}};
 
   options::options_description known;
   for (const auto& [key, set] : keys) known.add_options()(key.c_str(), options::value<std::string>());
--- a/src/features/properties.h
+++ b/src/features/properties.h
@@ -34,9 +34,18 @@
   std::unordered_map<std::string, Rate> own;  // by key
 };
 
+struct CaptureSettings {
+  bool on = false;
+  size_t memory_kb = 512;
+  std::string dir;  // empty: in memory
+  size_t files = 8;
+  size_t file_kb = 1024;
+};
+
 struct Properties {
   FiguresSettings figures;
   DoorSettings door;
+  CaptureSettings capture;
 
   std::string On() const;  // the features that are on, by name
 };
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -15,6 +15,7 @@
 #include <system_error>
 #include <vector>
 
+#include "features/capture_replay.h"
 #include "features/properties.h"
 #include "net/agent.h"
 #include "net/config.h"
@@ -34,6 +35,7 @@
     "\n"
     "  serve          runs the balancer in the foreground until SIGTERM\n"
     "  check-config   reads the configuration, prints what it says and ends\n"
+    "  replay         feeds a capture to the decisions and prints where they differ\n"
     "  version        prints the version\n"
     "  help           prints this\n"
     "\n"
@@ -80,6 +82,7 @@
     while (read(signals.fd(), &info, sizeof info) == static_cast<ssize_t>(sizeof info)) {
       if (info.ssi_signo == SIGUSR1) {
         PrintCounters(agent, agent.counters(), errors);
+        agent.Dump();
       } else if (info.ssi_signo == SIGHUP) {
         Reload(agent, path, errors);
       } else {
@@ -171,6 +174,17 @@
     if (!Options(known, rest, given, code)) return code;
     return command == "serve" ? Serve(file) : CheckConfig(file);
   }
+  if (command == "replay") {
+    std::string capture;
+    options::options_description known("burlfall replay --capture FILE --config FILE");
+    known.add_options()("capture", options::value(&capture)->value_name("FILE")->required(),
+                        "a capture's file, or standard error with what SIGUSR1 wrote to it");
+    known.add_options()(
+        "config", options::value(&file)->value_name("FILE")->required(),
+        "the operators' properties, or a platform's configuration with other settings to try");
+    if (!Options(known, rest, given, code)) return code;
+    return Replay(capture, file, std::cout, std::cerr);
+  }
   if (command == "version") {
     if (!Options(options::options_description("burlfall version"), rest, given, code)) return code;
     std::cout << "burlfall " << BURLFALL_VERSION << "\n";
--- a/src/net/agent.cpp
+++ b/src/net/agent.cpp
@@ -59,7 +59,9 @@
       hosts_(scheduler, config_, server_links_,
              [this](const meadowslip::BackendList& list) {
                ++(list.kind == meadowslip::ListKind::kFailed ? counters_.lists_failed : counters_.lists);
-               balancer_.OnList(scheduler_.Now(), list, *this);
+               const Micros now = scheduler_.Now();
+               if (capture_) capture_->OnList(now, list);
+               balancer_.OnList(now, list, *this);
              }),
       turn_(scheduler),
       sweep_(scheduler),
@@ -68,6 +70,10 @@
     figures_ = std::make_unique<Figures>(scheduler, properties.figures, config_.settings, errors, counters_);
   }
   door_.Configure(properties.door);
+  if (properties.capture.on) {
+    capture_ = std::make_unique<Capture>(scheduler, properties.capture, config_, hosts_, balancer_, errors,
+                                         counters_);
+  }
   listener_.emplace(scheduler, Listen(config_.listen));
 }
 
@@ -83,6 +89,7 @@
 
 void Agent::Start() {
   if (figures_) figures_->Start();
+  if (capture_) capture_->Start();
   hosts_.Start();
   phase_ = Phase::kServing;
   turns_ = Turns();
@@ -115,7 +122,12 @@
   if (figures_) figures_->Reopen();
 }
 
+void Agent::Dump() {
+  if (capture_) capture_->Dump();
+}
+
 void Agent::Finish() {
+  if (capture_) capture_->Finish(kFinishFor);
   if (figures_) figures_->Finish(kFinishFor);
 }
 
@@ -186,9 +198,11 @@
   told.attempt = result.attempt;
   told.closed = query.closed;
   told.backend = attempt.backend;
-  told.elapsed = scheduler_.Now() - attempt.sent_at;
+  const Micros now = scheduler_.Now();
+  told.elapsed = now - attempt.sent_at;
   told.outcome = result.answer.outcome;
-  balancer_.OnResult(scheduler_.Now(), told, *this);
+  if (capture_) capture_->OnResult(now, told);
+  balancer_.OnResult(now, told, *this);
 }
 
 void Agent::FireTimers() {
@@ -196,7 +210,9 @@
   while (!timers_.empty() && timers_.top().at <= now) {
     uint64_t name = timers_.top().name;
     timers_.pop();
-    balancer_.OnTimer(scheduler_.Now(), name, *this);
+    const Micros at = scheduler_.Now();
+    if (capture_) capture_->OnTimer(at, name);
+    balancer_.OnTimer(at, name, *this);
   }
 }
 
@@ -312,11 +328,12 @@
     return id;
   }
   query.request.id = id;
-  query.taken_at = scheduler_.Now();
+  const Micros now = query.taken_at = scheduler_.Now();
   if (figures_) figures_->Opened(query.series);
   meadowslip::Request request = query.request;
-  queries_.emplace(id, std::move(query));
-  balancer_.OnRequest(scheduler_.Now(), request, *this);
+  auto it = queries_.emplace(id, std::move(query)).first;
+  if (capture_) capture_->OnQuery(now, it->second);
+  balancer_.OnRequest(now, request, *this);
   return id;
 }
 
@@ -325,7 +342,9 @@
   if (query == nullptr) return;
   ++counters_.left;
   Close(id, *query, Figure::kLeft);
-  balancer_.OnClientLeft(scheduler_.Now(), id, *this);
+  const Micros now = scheduler_.Now();
+  if (capture_) capture_->OnClientLeft(now, id);
+  balancer_.OnClientLeft(now, id, *this);
 }
 
 Task<> Agent::Sweep() {
@@ -339,6 +358,11 @@
 
 // ---- The module's actions --------------------------------------------------------------------------------
 
+const Query* Agent::Known(RequestId id) const {
+  auto it = queries_.find(id);
+  return it == queries_.end() ? nullptr : &it->second;
+}
+
 Query* Agent::Open(RequestId id) {
   auto it = queries_.find(id);
   return it == queries_.end() || it->second.closed ? nullptr : &it->second;
@@ -358,6 +382,7 @@
   if (it == queries_.end()) return;
   Query& query = it->second;
   int n = static_cast<int>(query.attempts.size());
+  if (capture_) capture_->Chose(Record::Choice::kSend, id, &query, backend, n, timeout);
   Attempt& attempt = query.attempts.emplace_back();
   attempt.backend = backend;
   attempt.sent_at = scheduler_.Now();
@@ -382,6 +407,7 @@
 }
 
 void Agent::Cancel(RequestId id, int n) {
+  if (capture_) capture_->Chose(Record::Choice::kCancel, id, Known(id), 0, n);
   auto it = queries_.find(id);
   if (it == queries_.end() || n < 0 || static_cast<size_t>(n) >= it->second.attempts.size()) return;
   Attempt& attempt = it->second.attempts[static_cast<size_t>(n)];
@@ -394,6 +420,7 @@
 }
 
 void Agent::Refuse(RequestId id, Micros retry_after) {
+  if (capture_) capture_->Chose(Record::Choice::kRefuse, id, Known(id), 0, 0, retry_after);
   Query* query = Open(id);
   if (query == nullptr) return;
   ++counters_.throttled;
@@ -401,6 +428,7 @@
 }
 
 void Agent::Fail(RequestId id) {
+  if (capture_) capture_->Chose(Record::Choice::kFail, id, Known(id));
   Query* query = Open(id);
   if (query == nullptr) return;
   ++counters_.failed;
@@ -416,7 +444,10 @@
   if (set.at < wakes_at_) turn_.Notify();
 }
 
-void Agent::Subscribe() { hosts_.Subscribe(); }
+void Agent::Subscribe() {
+  if (capture_) capture_->Chose(Record::Choice::kAsk, 0, nullptr);
+  hosts_.Subscribe();
+}
 
 void Agent::Count(Outcome outcome) {
   switch (outcome) {
--- a/src/net/agent.h
+++ b/src/net/agent.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "features/capture.h"
 #include "features/door.h"
 #include "features/figures.h"
 #include "features/properties.h"
@@ -47,6 +48,7 @@
   // until the next start; false where it differs.
   bool Reload(Config config);
   void Reload(const Properties& properties);  // what of them may change in service
+  void Dump();                                // what was captured, to standard error
   void Finish();                              // what the features still have to write
   Phase phase() const { return phase_; }
   uint16_t port() const;
@@ -108,6 +110,7 @@
   }
   void ShedIdle(Micros idle_for);
   size_t links() const { return unasked_.size() + clients_.size() + server_links_.open(); }
+  const Query* Known(meadowslip::RequestId id) const;
   Query* Open(meadowslip::RequestId id);
   ClientLink* Close(meadowslip::RequestId id, Query& query, Figure how);
   void Count(meadowslip::Outcome outcome);
@@ -134,6 +137,7 @@
   std::vector<meadowslip::RequestId> ended_;
   std::vector<ClientLink*> retired_;
   meadowslip::Balancer balancer_;
+  std::unique_ptr<Capture> capture_;
   std::unordered_map<meadowslip::RequestId, Query> queries_;
   std::list<std::unique_ptr<ClientLink>> unasked_;  // without a query so far, the oldest first
   std::list<std::unique_ptr<ClientLink>> clients_;  // the one that answered least lately first
--- a/src/net/client_link.cpp
+++ b/src/net/client_link.cpp
@@ -174,6 +174,9 @@
     // The client counts from its sending: the first bytes are the nearest to that.
     query.request.give_up_at = began_ + ParseExpiry(message.Find(platform::kExpiresIn), patience);
     query.message = std::move(message);
+    query.trace = query.message.Find(platform::kTraceId);
+    query.tenant = query.message.Find(platform::kTenant);
+    if (request_class < 0) query.odd_class = FirstPart(query.message.target);
     meadowslip::RequestId id = agent_.Take(std::move(query));
     while (!answered_) {
       co_await socket_.Wait();
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -214,6 +214,7 @@
   if (root["settings"].get(settings) || settings.type() != element_type::OBJECT) {
     throw BadConfig(std::string(path) + ": no \"settings\"");
   }
+  config.settings_json = simdjson::minify(settings);
   std::string lines;
   Flatten("", settings, lines);
   try {
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -51,6 +51,7 @@
   int sockets = 1024;
   HostList known;
   meadowslip::Settings settings;
+  std::string settings_json;  // as they were given
 };
 
 // Returns nullptr for a variable that is not set.
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -28,6 +28,8 @@
   add("lists", lists);
   add("lists_failed", lists_failed);
   if (limited > 0) add("limited", limited);
+  if (capture_dropped > 0) add("capture_dropped", capture_dropped);
+  if (capture_errors > 0) add("capture_errors", capture_errors);
   if (figures_dropped > 0) add("figures_dropped", figures_dropped);
   return text;
 }
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -29,7 +29,9 @@
   uint64_t lists_failed = 0;
   // Of the features; not told of while there is nothing to tell.
   uint64_t figures_dropped = 0;
-  uint64_t limited = 0;  // turned away by the door limits
+  uint64_t capture_dropped = 0;  // events that were not captured
+  uint64_t capture_errors = 0;   // of the disk
+  uint64_t limited = 0;          // turned away by the door limits
 
   std::string Text() const;  // one line: name=value ...
 };
--- a/src/net/host_group.cpp
+++ b/src/net/host_group.cpp
@@ -62,6 +62,11 @@
   return it == hosts_.end() ? nullptr : it->second.get();
 }
 
+const Host* HostGroup::Find(meadowslip::BackendId id) const {
+  auto it = hosts_.find(id);
+  return it == hosts_.end() ? nullptr : it->second.get();
+}
+
 void HostGroup::RetireLinks() {
   for (auto& [id, host] : hosts_) links_.Retire(*host);
 }
@@ -169,6 +174,7 @@
 // Takes the list in before the module hears of it, so that both see the same states.
 BackendList HostGroup::Take(const HostList& list) {
   BackendList told;
+  version_ = list.version;
   told.kind = list.full ? ListKind::kFull : ListKind::kChanges;
   if (list.full && config_.settings.gone_binds) {
     for (auto& [id, host] : hosts_) host->state = BackendState::kGone;  // unless it is named below
--- a/src/net/host_group.h
+++ b/src/net/host_group.h
@@ -24,6 +24,10 @@
   void Subscribe();  // watches from now on, until a call fails
   void Restart();    // a new watch at once, where the configuration now says that discovery is
   Host* Find(meadowslip::BackendId id);
+  const Host* Find(meadowslip::BackendId id) const;
+  using Hosts = std::unordered_map<meadowslip::BackendId, std::unique_ptr<Host>>;
+  const Hosts& all() const { return hosts_; }
+  uint64_t version() const { return version_; }  // of the list heard last
   void RetireLinks();
   bool ShedIdleLink();  // closes one that nothing runs on; false where there is none
 
@@ -37,7 +41,8 @@
   const Config& config_;
   ServerLinks& links_;
   Told told_;
-  std::unordered_map<meadowslip::BackendId, std::unique_ptr<Host>> hosts_;
+  Hosts hosts_;
+  uint64_t version_ = 0;
   std::unordered_map<std::string, Host*> by_name_;
   std::unique_ptr<Socket> link_;
   Signal asked_;
--- a/src/net/outlet.cpp
+++ b/src/net/outlet.cpp
@@ -95,11 +95,14 @@
 
 Outlet::Taken Outlet::Flush() {
   if (!Open()) return Taken::kNo;
-  if (rest_.empty()) return Taken::kYes;
-  std::string_view left = rest_;
-  Taken taken = Push(left);
-  rest_.erase(0, rest_.size() - left.size());
-  return taken;
+  while (!rest_.empty() || !said_.empty()) {
+    if (rest_.empty()) rest_.swap(said_);
+    std::string_view left = rest_;
+    const Taken taken = Push(left);
+    rest_.erase(0, rest_.size() - left.size());
+    if (taken != Taken::kYes) return taken;
+  }
+  return Taken::kYes;
 }
 
 Outlet::Taken Outlet::Offer(std::string_view lines) {
@@ -113,7 +116,7 @@
 }
 
 void Outlet::Say(std::string_view line) {
-  if (Offer(line) == Taken::kLater && rest_.size() + line.size() <= kMostKept) rest_ += line;
+  if (Offer(line) == Taken::kLater && said_.size() + line.size() <= kMostKept) said_ += line;
 }
 
 void Outlet::AwaitRoom(Micros patience) const { HasRoom(fd(), static_cast<int>(patience / kMs)); }
@@ -121,7 +124,7 @@
 bool Outlet::Drain(Micros patience) {
   const auto until = std::chrono::steady_clock::now() + std::chrono::microseconds(patience);
   while (Flush() == Taken::kLater && std::chrono::steady_clock::now() < until) AwaitRoom(20 * kMs);
-  return rest_.empty();
+  return rest_.empty() && said_.empty();
 }
 
 }  // namespace burlfall
--- a/src/net/outlet.h
+++ b/src/net/outlet.h
@@ -33,7 +33,6 @@
   bool Drain(Micros patience);
   void AwaitRoom(Micros patience) const;
   void Reopen();  // a file that was moved away is made anew
-  size_t kept() const { return rest_.size(); }
 
  private:
   enum class Kind { kOwn, kShared, kPlain, kStream, kDatagram, kFile };
@@ -47,7 +46,8 @@
   Descriptor own_;
   int shared_ = -1;
   std::string path_;
-  std::string rest_;
+  std::string rest_;  // of lines that were begun
+  std::string said_;  // whole lines that are to follow
 };
 
 }  // namespace burlfall
--- a/src/net/query.h
+++ b/src/net/query.h
@@ -2,6 +2,7 @@
 #ifndef BURLFALL_NET_QUERY_H_
 #define BURLFALL_NET_QUERY_H_
 
+#include <string>
 #include <vector>
 
 #include "meadowslip/balancer.h"
@@ -24,7 +25,11 @@
   HttpMessage message;
   ClientLink* client = nullptr;  // while it is owed an answer
   bool closed = false;           // answered, or the client has left
-  uint32_t series = 0;           // of its figures
+  // What the client called it, for the capture. The headers stay where they are when a message is moved.
+  const std::string* trace = nullptr;
+  const std::string* tenant = nullptr;
+  std::string odd_class;  // where the settings don't name it
+  uint32_t series = 0;    // of its figures
   Micros taken_at = 0;
   int out = 0;  // attempts whose results the module has not been told
   std::vector<Attempt> attempts;
--- a/tests/net/peers.h
+++ b/tests/net/peers.h
@@ -59,6 +59,7 @@
   void Write(const std::string& bytes) {
     REQUIRE(send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
   }
+  void TryWrite(const std::string& bytes) { send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL); }
   // One message, with its body where Content-Length tells of one; empty where the link ended first.
   std::string Read() {
     std::string message;
@@ -112,6 +113,7 @@
     REQUIRE(Readable(fd_.get(), kPatience * 1000));
     return Link(Descriptor(accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC)));
   }
+  int fd() const { return fd_.get(); }
   bool Called() const { return Readable(fd_.get(), 0); }  // a connection waits
   void Close() { fd_ = Descriptor(); }
   // The one of two that is called first.
@@ -215,7 +217,10 @@
     }
     close(ends[1]);
     out_ = Descriptor(ends[0]);
-    output = Line();
+    for (std::string line = Line(); !line.empty(); line = Line()) {
+      output += line;
+      if (line.find("serves at") != std::string::npos) break;
+    }
     size_t at = output.find("serves at 127.0.0.1:");
     if (at != std::string::npos) port = static_cast<uint16_t>(std::stoul(output.substr(at + 20)));
   }
