Send each batch of figures as it is full, so that one large flush loses nothing

Seen: the commit before made the bound of waiting figures 64 KiB less one batch, and the test with 5000 made-up tenants failed: a flush formatted all its lines before it sent any, so that with large batches it dropped its own oldest lines while its target had room.

--- a/src/features/figures.cpp
+++ b/src/features/figures.cpp
@@ -212,7 +212,10 @@
 void Figures::Line(std::string_view line, uint64_t figures) {
   const size_t most = settings_.batch_bytes;
   if (line.size() + 1 > most) return Dropped(figures);
-  if (waiting_.empty() || waiting_.back().text.size() + line.size() + 1 > most) waiting_.emplace_back();
+  if (waiting_.empty() || waiting_.back().text.size() + line.size() + 1 > most) {
+    Send();  // what is full goes now: one flush may have more to say than there is room to wait
+    waiting_.emplace_back();
+  }
   Batch& batch = waiting_.back();
   batch.text.append(line).append("\n");
   batch.figures += figures;
