Tokens: signed rights to classes, checked at the door, with keys that change in service

Seen while testing: the first signatures covered the dot before them (an argument is made after the append that stands in front of it). Found by the test against a signature that openssl made, not by issuing and checking with our own.

--- a/src/features/properties.cpp
+++ b/src/features/properties.cpp
@@ -17,8 +17,15 @@
 
 namespace options = boost::program_options;
 
+constexpr size_t kMostKeyId = 16;
+
 std::string Short(std::string_view text) { return std::string(text.substr(0, 40)); }
 
+// A key as it is told. A long one may be a secret that stands on the wrong side.
+std::string ShownKey(const std::string& key) {
+  return key.size() <= 60 ? key.substr(0, key.size()) : key.substr(0, 14) + "...";
+}
+
 std::string ReadText(const std::string& path) {
   try {
     std::ifstream file(path, std::ios::binary);
@@ -141,6 +148,35 @@
   };
 }
 
+// What is wrong with a key is told without showing it.
+std::string Secret(const std::string& value) {
+  constexpr size_t kBytes = 32;
+  std::string bytes;
+  for (size_t i = 0; i + 2 <= value.size() && value.size() == 2 * kBytes; i += 2) {
+    unsigned byte = 0;
+    auto [end, error] = std::from_chars(value.data() + i, value.data() + i + 2, byte, 16);
+    if (error == std::errc() && end == value.data() + i + 2) bytes += static_cast<char>(byte);
+  }
+  if (bytes.size() != kBytes) throw BadConfig("not 64 hexadecimal digits");
+  return bytes;
+}
+
+void TokensKeys(Setters& keys, TokensSettings& tokens) {
+  keys["tokens.required"] = [&](const std::string& value, const std::string&) {
+    tokens.required = Flag(value);
+  };
+  keys["tokens.leeway_s"] = [&](const std::string& value, const std::string&) {
+    tokens.leeway_s = Whole(value, 0, 86400);
+  };
+  keys["tokens.key.*"] = [&](const std::string& value, const std::string& id) {
+    const bool plain =
+        id.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-") ==
+        std::string::npos;
+    if (!plain || id.size() > kMostKeyId) throw BadConfig("an id is 1 to 16 letters, digits, - or _");
+    tokens.keys[id] = Secret(value);
+  };
+}
+
 const Setters::value_type* Match(const Setters& keys, const std::string& key) {
   for (const auto& entry : keys) {
     std::string_view name = entry.first;
@@ -160,6 +196,7 @@
   add(figures.on, "figures");
   add(door.on, "door");
   add(capture.on, "capture");
+  add(tokens.on, "tokens");
   return names.empty() ? "none" : names;
 }
 
@@ -168,11 +205,13 @@
   Setters keys;
   FiguresKeys(keys, properties.figures);
   CaptureKeys(keys, properties.capture);
+  TokensKeys(keys, properties.tokens);
   DoorLines door;
   DoorKeys(keys, properties.door, door);
   const std::map<std::string, bool*> features = {{"figures", &properties.figures.on},
                                                  {"door", &properties.door.on},
-                                                 {"capture", &properties.capture.on}};
+                                                 {"capture", &properties.capture.on},
+                                                 {"tokens", &properties.tokens.on}};
 
   options::options_description known;
   for (const auto& [key, set] : keys) known.add_options()(key.c_str(), options::value<std::string>());
@@ -185,7 +224,7 @@
   try {
     parsed = options::parse_config_file(text, known);
   } catch (const options::unknown_option& e) {
-    throw BadConfig(path + ": unknown key " + Short(e.get_option_name()));
+    throw BadConfig(path + ": unknown key " + ShownKey(e.get_option_name()));
   } catch (const options::error&) {  // its own words would show the line, and with it perhaps a secret
     throw BadConfig(path + ": a line that is not key = value");
   }
@@ -204,11 +243,14 @@
       }
       *on = true;
     } catch (const BadConfig& e) {
-      throw BadConfig(path + ": " + key + ": " + e.what());
+      throw BadConfig(path + ": " + ShownKey(key) + ": " + e.what());
     }
   }
   for (const auto& [feature, on] : enabled) *features.at(feature) = on;
   door.Into(properties.door);
+  if (properties.tokens.on && properties.tokens.required && properties.tokens.keys.empty()) {
+    throw BadConfig(path + ": tokens.required: there is no tokens.key to check them by");
+  }
   return properties;
 }
 
--- a/src/features/properties.h
+++ b/src/features/properties.h
@@ -4,6 +4,8 @@
 #define BURLFALL_FEATURES_PROPERTIES_H_
 
 #include <cstddef>
+#include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -42,10 +44,18 @@
   size_t file_kb = 1024;
 };
 
+struct TokensSettings {
+  bool on = false;
+  bool required = false;
+  int64_t leeway_s = 5;
+  std::map<std::string, std::string> keys;  // 32 bytes each, by id
+};
+
 struct Properties {
   FiguresSettings figures;
   DoorSettings door;
   CaptureSettings capture;
+  TokensSettings tokens;
 
   std::string On() const;  // the features that are on, by name
 };
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,6 +7,7 @@
 #include <cerrno>
 #include <cstdio>
 #include <cstdlib>
+#include <ctime>
 #include <exception>
 #include <iostream>
 #include <stdexcept>
@@ -17,6 +18,7 @@
 
 #include "features/capture_replay.h"
 #include "features/properties.h"
+#include "features/tokens.h"
 #include "net/agent.h"
 #include "net/config.h"
 #include "net/outlet.h"
@@ -29,6 +31,7 @@
 namespace options = boost::program_options;
 
 constexpr int kUsageError = 2;
+constexpr int64_t kLongestToken = 10 * 365 * 86400;
 constexpr Micros kLastLines = 300 * kMs;
 constexpr char kUsage[] =
     "usage: burlfall COMMAND [OPTIONS]\n"
@@ -36,6 +39,7 @@
     "  serve          runs the balancer in the foreground until SIGTERM\n"
     "  check-config   reads the configuration, prints what it says and ends\n"
     "  replay         feeds a capture to the decisions and prints where they differ\n"
+    "  token issue    prints a token, signed with one of the operators' keys\n"
     "  version        prints the version\n"
     "  help           prints this\n"
     "\n"
@@ -174,6 +178,31 @@
     if (!Options(known, rest, given, code)) return code;
     return command == "serve" ? Serve(file) : CheckConfig(file);
   }
+  if (command == "token") {
+    std::string key, holder, classes;
+    int64_t ttl = 0;
+    options::options_description known(
+        "burlfall token issue --config FILE --key ID --holder NAME --classes A+B --ttl SECONDS");
+    auto need = [](std::string* to, const char* name) {
+      return options::value(to)->value_name(name)->required();
+    };
+    known.add_options()("config", need(&file, "FILE"), "the operators' properties, which hold the keys")(
+        "key", need(&key, "ID"), "the key to sign with: k1 for tokens.key.k1")(
+        "holder", need(&holder, "NAME"), "whose token it is")("classes", need(&classes, "A+B"),
+                                                              "what it is good for")(
+        "ttl", options::value(&ttl)->value_name("SECONDS")->required(), "for how long, from now on");
+    const bool asks = !rest.empty() && (rest[0] == "--help" || rest[0] == "-h");
+    if (!asks && (rest.empty() || rest[0] != "issue")) return UsageError("token knows only issue");
+    if (!Options(known, asks ? rest : std::vector<std::string>(rest.begin() + 1, rest.end()), given, code)) {
+      return code;
+    }
+    if (ttl < 1 || ttl > kLongestToken)
+      return UsageError("--ttl: from 1 to " + std::to_string(kLongestToken));
+    Tokens tokens;
+    tokens.Configure(LoadProperties(file).tokens);
+    std::cout << tokens.Issue(key, holder, classes, std::time(nullptr) + ttl) << "\n";
+    return 0;
+  }
   if (command == "replay") {
     std::string capture;
     options::options_description known("burlfall replay --capture FILE --config FILE");
--- a/src/net/agent.cpp
+++ b/src/net/agent.cpp
@@ -69,6 +69,7 @@
   if (properties.figures.on) {
     figures_ = std::make_unique<Figures>(scheduler, properties.figures, config_.settings, errors, counters_);
   }
+  tokens_.Configure(properties.tokens);
   door_.Configure(properties.door);
   if (properties.capture.on) {
     capture_ = std::make_unique<Capture>(scheduler, properties.capture, config_, hosts_, balancer_, errors,
@@ -118,6 +119,7 @@
 }
 
 void Agent::Reload(const Properties& properties) {
+  tokens_.Configure(properties.tokens);
   door_.Configure(properties.door);
   if (figures_) figures_->Reopen();
 }
--- a/src/net/agent.h
+++ b/src/net/agent.h
@@ -17,6 +17,7 @@
 #include "features/door.h"
 #include "features/figures.h"
 #include "features/properties.h"
+#include "features/tokens.h"
 #include "meadowslip/balancer.h"
 #include "net/client_link.h"
 #include "net/config.h"
@@ -56,6 +57,7 @@
   // For the client links.
   const meadowslip::Settings& settings() const { return config_.settings; }
   Counters& counters() { return counters_; }
+  const Tokens& tokens() const { return tokens_; }
   Door& door() { return door_; }
   Figures* figures() { return figures_.get(); }  // nullptr: off
   bool up() const { return phase_ == Phase::kServing; }
@@ -119,6 +121,7 @@
   Config config_;
   Counters counters_;
   std::unique_ptr<Figures> figures_;
+  Tokens tokens_;
   Door door_;
   Phase phase_ = Phase::kStarting;
   Micros phase_ends_ = kNever;
--- a/src/net/client_link.cpp
+++ b/src/net/client_link.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <chrono>
 #include <cmath>
 #include <cstdio>
 #include <optional>
@@ -51,6 +52,13 @@
   return it == all.end() ? -1 : static_cast<int>(it - all.begin());
 }
 
+// Not the scheduler's time, which never steps: an expiry is by the clock on the wall.
+Micros WallClock() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 std::string_view FirstPart(std::string_view target) {
   target.remove_prefix(1);
   return target.substr(0, target.find_first_of("/?"));
@@ -200,6 +208,31 @@
       figures->Add(series, why);
     }
   };
+  // Tokens first: forged queries must not use up a caller's bucket.
+  if (agent_.tokens().on()) {
+    const std::string* token = nullptr;
+    bool twice = false;
+    for (const Header& header : message.headers) {
+      if (!SameName(header.name, platform::kToken)) continue;
+      twice = twice || token != nullptr;
+      token = &header.value;
+    }
+    std::string_view cls;
+    if (request_class >= 0) cls = agent_.settings().classes[static_cast<size_t>(request_class)].name;
+    const Tokens::Verdict verdict =
+        twice ? Tokens::Verdict::kForged  // one of them may have been added on the way
+              : agent_.tokens().Check(token != nullptr ? std::string_view(*token) : "", cls, WallClock());
+    if (verdict != Tokens::Verdict::kPass) {
+      const TokenAnswer answer = AnswerTo(verdict);
+      std::string headers;
+      AppendHeader(headers, "Content-Type", "text/plain");
+      if (answer.status == 401) AppendHeader(headers, platform::kChallenge, platform::kToken);
+      ++agent_.counters().denied;
+      count(Figure::kDenied);
+      Answer(answer.status, headers, answer.body);
+      return true;
+    }
+  }
   Door& door = agent_.door();
   if (!door.on()) return false;
   std::string key = platform::kNobody;
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -27,6 +27,7 @@
   add("moot", moot);
   add("lists", lists);
   add("lists_failed", lists_failed);
+  if (denied > 0) add("denied", denied);
   if (limited > 0) add("limited", limited);
   if (capture_dropped > 0) add("capture_dropped", capture_dropped);
   if (capture_errors > 0) add("capture_errors", capture_errors);
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -31,6 +31,7 @@
   uint64_t figures_dropped = 0;
   uint64_t capture_dropped = 0;  // events that were not captured
   uint64_t capture_errors = 0;   // of the disk
+  uint64_t denied = 0;           // turned away for their token
   uint64_t limited = 0;          // turned away by the door limits
 
   std::string Text() const;  // one line: name=value ...
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -76,6 +76,10 @@
       return "OK";
     case 400:
       return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 403:
+      return "Forbidden";
     case 404:
       return "Not Found";
     case 408:
--- a/src/net/platform.h
+++ b/src/net/platform.h
@@ -13,6 +13,8 @@
 inline constexpr char kSizeHint[] = "X-Size-Hint";  // microseconds of work
 inline constexpr char kNeverRan[] = "X-Never-Ran";
 inline constexpr char kNobody[] = "-";  // stands for a tenant where a query names none
+inline constexpr char kToken[] = "X-Swap-Token";
+inline constexpr char kChallenge[] = "WWW-Authenticate";  // what a 401 has to name
 inline constexpr char kRetryAfter[] = "Retry-After";
 
 // Paths: ours, and discovery's.
