Tell an unreadable capture from differences, and test the outlet on pipes and sockets of all kinds

Seen on reading the features again: replay ended with 1, the code for differences, where the capture could not be read: 2 now.

--- a/src/features/capture_replay.cpp
+++ b/src/features/capture_replay.cpp
@@ -204,7 +204,8 @@
   Replayer replayer(ReadSettings(config), out);
   std::ifstream file(capture);
   if (!file || file.peek() == std::ifstream::traits_type::eof()) {
-    throw BadConfig(capture + ": can't be read, or is empty");
+    errors << "burlfall: " << capture << ": can't be read, or is empty\n";
+    return kNoCapture;
   }
   RecordReader reader;
   long line = 0, others = 0, torn = 0;
--- a/src/features/capture_replay.h
+++ b/src/features/capture_replay.h
@@ -9,11 +9,11 @@
 
 constexpr int kSame = 0;
 constexpr int kDiffers = 1;
-constexpr int kNoCapture = 2;  // an unknown kind of record, or nothing that can be replayed
+constexpr int kNoCapture = 2;  // an unknown kind of record, or nothing that can be read or replayed
 
 // `config` names the operators' properties, or a platform's configuration whose settings then go before the
 // captured ones. Lines that differ go to `out`, and a last line that says how many; what is wrong goes to
-// `errors`. Throws BadConfig where a file can't be read.
+// `errors`. Throws BadConfig where `config` can't be used.
 int Replay(const std::string& capture, const std::string& config, std::ostream& out, std::ostream& errors);
 
 }  // namespace burlfall
--- a/src/features/door.cpp
+++ b/src/features/door.cpp
@@ -6,7 +6,8 @@
 namespace burlfall {
 namespace {
 
-constexpr size_t kMostKey = 256;  // of a name that a client makes up
+constexpr size_t kMostKey = 256;       // of a name that a client makes up
+constexpr double kLongestWait = 1e15;  // us; a rate may be next to nothing
 constexpr double kWhole = 1 - 1e-9;
 
 }  // namespace
@@ -64,7 +65,8 @@
     caller.tokens = std::max(0.0, caller.tokens - 1);
     return std::nullopt;
   }
-  return static_cast<Micros>(std::ceil((1 - caller.tokens) / rate * kSecond - 1e-3));
+  const double wait = std::ceil((1 - caller.tokens) / rate * kSecond - 1e-3);
+  return static_cast<Micros>(std::min(wait, kLongestWait));
 }
 
 std::string Door::Seconds(Micros wait) {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -176,6 +176,7 @@
     known.add_options()("config", options::value(&file)->value_name("FILE"),
                         "the operators' properties; without them every feature is off");
     if (!Options(known, rest, given, code)) return code;
+    if (given.contains("config") && file.empty()) return UsageError("--config names no file");
     return command == "serve" ? Serve(file) : CheckConfig(file);
   }
   if (command == "token") {
--- a/src/net/outlet.cpp
+++ b/src/net/outlet.cpp
@@ -24,11 +24,13 @@
 
 }  // namespace
 
-Outlet Outlet::StandardError() {
+Outlet Outlet::StandardError() { return On(STDERR_FILENO); }
+
+Outlet Outlet::On(int fd, bool anew) {
   Outlet outlet;
-  outlet.shared_ = STDERR_FILENO;
+  outlet.shared_ = fd;
   struct stat status {};
-  if (fstat(STDERR_FILENO, &status) != 0) return outlet;
+  if (fstat(fd, &status) != 0) return outlet;
   if (S_ISSOCK(status.st_mode)) {
     outlet.kind_ = Kind::kStream;
   } else if (S_ISREG(status.st_mode)) {
@@ -36,7 +38,8 @@
     outlet.kind_ = Kind::kPlain;
   } else {
     // Another user's pipe can't be opened.
-    outlet.own_ = Descriptor(open("/proc/self/fd/2", O_WRONLY | O_NONBLOCK | O_CLOEXEC | O_NOCTTY));
+    const std::string path = "/proc/self/fd/" + std::to_string(fd);
+    if (anew) outlet.own_ = Descriptor(open(path.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC | O_NOCTTY));
     outlet.kind_ = outlet.own_ ? Kind::kOwn : Kind::kShared;
   }
   return outlet;
--- a/src/net/outlet.h
+++ b/src/net/outlet.h
@@ -22,8 +22,9 @@
   // Standard error may be shared with other programs, so its own description is never set not to block: a
   // pipe or terminal is opened anew, and where that can't be done it is only written to while it has room.
   static Outlet StandardError();
-  static Outlet File(std::string path);  // opened, and made, with the first line
-  static Outlet Udp(const Address& to);  // one datagram for each Offer()
+  static Outlet On(int fd, bool anew = true);  // the same for another; `anew` false: never opened anew
+  static Outlet File(std::string path);        // opened, and made, with the first line
+  static Outlet Udp(const Address& to);        // one datagram for each Offer()
 
   // Whole lines, all or none. What a pipe took only in part is finished before anything else is written.
   Taken Offer(std::string_view lines);
--- a/tests/features/door_test.cpp
+++ b/tests/features/door_test.cpp
@@ -57,6 +57,15 @@
   }
 }
 
+TEST_CASE("a rate that is next to nothing is told as a time that can be written") {
+  Door door;
+  door.Configure(Limits(5e-324, 1));
+  CHECK_FALSE(door.Refuses("a", kSecond));
+  std::optional<Micros> wait = door.Refuses("a", kSecond);
+  REQUIRE(wait);
+  CHECK(Door::Seconds(*wait) == "1000000000");
+}
+
 TEST_CASE("seconds are rounded up and written as short as they go") {
   CHECK(Door::Seconds(20000) == "0.02");
   CHECK(Door::Seconds(20001) == "0.021");
--- a/tests/features/figures_test.cpp
+++ b/tests/features/figures_test.cpp
@@ -153,6 +153,39 @@
   CHECK(set.file.Text() == "burlfall.figures_dropped:3|c\n");
 }
 
+TEST_CASE("pipes and sockets that are full take lines later, whole and in order, and none of them blocks") {
+  signal(SIGPIPE, SIG_IGN);  // as the program does
+  for (std::string kind : {"opened anew", "shared", "socket"}) {
+    CAPTURE(kind);
+    int ends[2];
+    REQUIRE((kind == "socket" ? socketpair(AF_UNIX, SOCK_STREAM, 0, ends) : pipe(ends)) == 0);
+    Descriptor in(ends[0]), out(ends[1]);
+    Outlet outlet = Outlet::On(out.get(), kind != "shared");
+    std::string sent;
+    Outlet::Taken taken = Outlet::Taken::kYes;
+    for (int i = 0; taken == Outlet::Taken::kYes; ++i) {
+      const std::string lines = std::to_string(i) + std::string(6000, 'x') + "\n";
+      taken = outlet.Offer(lines);
+      if (taken == Outlet::Taken::kYes) sent += lines;
+    }
+    CHECK(taken == Outlet::Taken::kLater);
+    outlet.Say("said\n");
+    sent += "said\n";
+    CHECK((fcntl(out.get(), F_GETFL) & O_NONBLOCK) == 0);
+    CHECK_FALSE(outlet.Drain(50 * kMs));
+    std::string heard;
+    char piece[4096];
+    while (heard.size() < sent.size()) {
+      outlet.Drain(0);
+      REQUIRE(Readable(in.get(), kPatience * 1000));
+      heard.append(piece, static_cast<size_t>(read(in.get(), piece, sizeof piece)));
+    }
+    CHECK(heard == sent);
+    in = Descriptor();
+    CHECK(outlet.Offer("nobody\n") == Outlet::Taken::kNo);
+  }
+}
+
 TEST_CASE("over UDP no datagram is over its size, and a collector that is gone costs figures alone") {
   Peer server;
   std::optional<Collector> collector(std::in_place);
@@ -210,7 +243,9 @@
   client.Write("GET /counters HTTP/1.1\r\n\r\n");
   CHECK(client.Read().find("served=400") != std::string::npos);
   CHECK((fcntl(program.fd(), F_GETFL) & O_NONBLOCK) == 0);
-  CHECK(program.Wait(SIGTERM) == 0);
+  program.Signal(SIGTERM);
+  CHECK(program.EndsUnread());
+  CHECK(program.Wait() == 0);
   for (const std::string& line : Lines(program.output)) {  // none torn
     CAPTURE(line);
     CHECK((line.starts_with("burlfall: ") ||
--- a/tests/features/properties_test.cpp
+++ b/tests/features/properties_test.cpp
@@ -87,6 +87,8 @@
   CHECK(check.Wait() == 0);
   CHECK(check.output.ends_with("; features on: figures\n"));
   CHECK(Program(config, {"serve", "--config"}).Wait() == 2);
+  CHECK(Program(config, {"serve", "--config", ""}).Wait() == 2);
+  CHECK(Program(config, {"serve", "--config="}).Wait() == 2);
   CHECK(Program(config, {"serve", "more"}).Wait() == 2);
   CHECK(Program(config, {"serve", "--help"}).Wait() == 0);
 }
--- a/tests/net/peers.h
+++ b/tests/net/peers.h
@@ -244,6 +244,17 @@
     waitpid(std::exchange(pid_, -1), &status, 0);
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
   }
+  bool EndsUnread() const {  // without anybody reading what it writes
+    for (int i = 0; i < kPatience * 100; ++i) {
+      siginfo_t info{};
+      if (waitid(P_PID, static_cast<id_t>(pid_), &info, WEXITED | WNOHANG | WNOWAIT) == 0 &&
+          info.si_pid != 0) {
+        return true;
+      }
+      poll(nullptr, 0, 10);
+    }
+    return false;
+  }
   std::string Line() {
     std::string line;
     char c;
