--- a/src/net/outlet.cpp
+++ b/src/net/outlet.cpp
@@ -30,7 +30,10 @@
   Outlet outlet;
   outlet.shared_ = fd;
   struct stat status {};
-  if (fstat(fd, &status) != 0) return outlet;
+  if (fstat(fd, &status) != 0) {
+    outlet.shared_ = -1;  // closed: its number may be a client's link soon
+    return outlet;
+  }
   if (S_ISSOCK(status.st_mode)) {
     outlet.kind_ = Kind::kStream;
   } else if (S_ISREG(status.st_mode)) {
--- a/tests/features/figures_test.cpp
+++ b/tests/features/figures_test.cpp
@@ -186,6 +186,81 @@
   }
 }
 
+TEST_CASE("what waits for room stays under 64 KiB, and the oldest goes first") {
+  int ends[2];
+  REQUIRE(pipe(ends) == 0);
+  Descriptor in(ends[0]), out(ends[1]);
+  REQUIRE(fcntl(out.get(), F_SETPIPE_SZ, 4096) == 4096);
+  Scheduler scheduler;
+  Outlet errors = Outlet::On(out.get());
+  Counters counters;
+  Figures figures(scheduler, {.on = true}, Names(), errors, counters);
+  const std::string tenant = "akku-punkt-lu";
+  constexpr int kFlushes = 1500;
+  for (int i = 0; i < kFlushes; ++i) {
+    const Figures::Series s = figures.Of(0, &tenant);
+    figures.Add(s, Figure::kRequests);
+    figures.Opened(s);
+    figures.Closed(s, Figure::kServed, i * kMs);
+    figures.Flush();
+  }
+  const uint64_t dropped = counters.figures_dropped;
+  CHECK(dropped > 0);
+  std::string heard;
+  char piece[4096];
+  while (heard.find("request_time:1499.000") == std::string::npos) {
+    figures.Flush();
+    REQUIRE(Readable(in.get(), kPatience * 1000));
+    heard.append(piece, static_cast<size_t>(read(in.get(), piece, sizeof piece)));
+  }
+  figures.Flush();
+  while (Readable(in.get(), 0)) {
+    heard.append(piece, static_cast<size_t>(read(in.get(), piece, sizeof piece)));
+    figures.Flush();
+  }
+  CHECK(heard.size() < 4096 + 64 * 1024 + 100);
+  CHECK(heard.find("request_time:0.000") != std::string::npos);    // in the pipe before it was full
+  CHECK(heard.find("request_time:700.000") == std::string::npos);  // long waiting: gone
+  CHECK(heard.find("request_time:1400.000") != std::string::npos);
+  uint64_t told = 0, lines = 0;
+  for (const std::string& line : Lines(heard)) {
+    CAPTURE(line);
+    if (line.starts_with("burlfall.figures_dropped:")) {
+      told += std::stoul(line.substr(25));
+    } else {
+      CHECK(line.ends_with("|#class:swap-charge,tenant:akku-punkt-lu"));
+      ++lines;
+    }
+  }
+  CHECK(counters.figures_dropped == dropped);
+  CHECK(lines + dropped >= 3 * kFlushes);  // those dropped may be lines that told of others
+  CHECK(told > 0);
+}
+
+TEST_CASE("a file that was moved away is made anew, and a closed standard error is left alone") {
+  Set set(false);
+  set.Ask("akku-punkt-lu", 0);
+  set.figures.Flush();
+  TextFile moved;
+  std::filesystem::rename(set.file.path, moved.path);
+  set.Ask("akku-punkt-lu", 0);
+  set.figures.Flush();
+  CHECK_FALSE(std::filesystem::exists(set.file.path));
+  set.figures.Reopen();
+  set.Ask("akku-punkt-lu", 0);
+  set.figures.Flush();
+  CHECK(Lines(set.file.Text()).size() == 3);
+  CHECK(Lines(moved.Text()).size() == 6);
+  int ends[2];
+  REQUIRE(pipe(ends) == 0);
+  Descriptor in(ends[0]);
+  close(ends[1]);
+  Outlet closed = Outlet::On(ends[1]);
+  REQUIRE(dup2(in.get(), ends[1]) == ends[1]);  // the number is another's now
+  Descriptor other(ends[1]);
+  CHECK(closed.Offer("not for it\n") == Outlet::Taken::kNo);
+}
+
 TEST_CASE("over UDP no datagram is over its size, and a collector that is gone costs figures alone") {
   Peer server;
   std::optional<Collector> collector(std::in_place);
