Let the story of idle client links come back when it is told to

A client that is accepted together with 47 links younger than 250 ms finds no room for a server link, since none of them is idle yet, and is throttled with a 503, as it should be; the story waited for a call that never came.

--- a/tests/net/peers.h
+++ b/tests/net/peers.h
@@ -79,6 +79,7 @@
     while ((n = recv(fd_.get(), &c, 1, 0)) == 1) continue;
     return n == 0 || errno == ECONNRESET;
   }
+  int fd() const { return fd_.get(); }
   void Close() { fd_ = Descriptor(); }
   void Pour(const std::string& head) {  // until the link ends, or for kPatience
     Write(head);
--- a/tests/net/stories_test.cpp
+++ b/tests/net/stories_test.cpp
@@ -294,8 +294,16 @@
     idle.push_back(Link::To(program.port));
     CHECK(program.Descriptors() <= 64);
   }
+  // While all the others were accepted a moment ago none of them is idle yet, and it may be told to come
+  // back.
   Link client = Link::To(program.port);
   client.Write(Get("t1"));
+  for (int i = 0; i < 1000 && !server.Called(); ++i) {
+    if (!Readable(client.fd(), 10)) continue;
+    CHECK(client.Read().starts_with("HTTP/1.1 503 "));
+    client = Link::To(program.port);
+    client.Write(Get("t1"));
+  }
   Link link = server.Accept();
   link.Read();
   link.Write(Ok("served"));
