A second address: nodes out by hand, and drains that can be taken back

Nobody listened at `admin`, so `/up` said yes 4 s after the call to drain (rule on lost requests), and nodes taken out went on getting queries.

The module has no line more: a start that it hears of now ends the sleep of the life before, in the line that clears the failures. Not taken: a ban check before each send, a new id for a node that is back.

Ruled out: a list of changes as the module's news of a ban; it would take that for discovery being followed, and not ask again after a failed call.

--- a/src/codec/http.cpp
+++ b/src/codec/http.cpp
@@ -82,12 +82,20 @@
       return "Forbidden";
     case 404:
       return "Not Found";
+    case 405:
+      return "Method Not Allowed";
     case 408:
       return "Request Timeout";
+    case 409:
+      return "Conflict";
     case 413:
       return "Content Too Large";
     case 429:
       return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 500:
+      return "Internal Server Error";
     case 502:
       return "Bad Gateway";
     case 503:
--- a/src/config/platform.h
+++ b/src/config/platform.h
@@ -23,11 +23,22 @@
 inline constexpr char kCountersPath[] = "/counters";
 inline constexpr char kHostsPath[] = "/discovery/hosts";
 
+// Calls at the second address. A server's id stands between the last three.
+inline constexpr char kHealthPath[] = "/healthcheck";
+inline constexpr char kDrainPath[] = "/healthcheck/fail";
+inline constexpr char kResumePath[] = "/healthcheck/ok";
+inline constexpr char kNodesPath[] = "/nodes/";
+inline constexpr char kOutPath[] = "/maint";
+inline constexpr char kBackPath[] = "/ready";
+
 // The environment.
 inline constexpr char kNameVariable[] = "PROXY_NAME";
 inline constexpr char kListenVariable[] = "PROXY_LISTEN";
 inline constexpr char kDiscoveryVariable[] = "PROXY_DISCOVERY";
 inline constexpr char kConfigVariable[] = "PROXY_CONFIG";
+inline constexpr char kAdminVariable[] = "PROXY_ADMIN";
+inline constexpr char kPassedVariable[] = "PROXY_PASSED_SOCKET";  // the descriptor of the clients' listener
+inline constexpr char kFolderVariable[] = "TMPDIR";
 
 // States of a server in discovery's list.
 inline constexpr char kReady[] = "Ready";
--- a/src/config/platform_config.cpp
+++ b/src/config/platform_config.cpp
@@ -174,6 +174,14 @@
   config.name = given(platform::kNameVariable, "name");
   config.listen = ParseAddress(given(platform::kListenVariable, "listen"));
   config.discovery = ParseAddress(given(platform::kDiscoveryVariable, "discovery"));
+  const char* admin = environment(platform::kAdminVariable);
+  std::string_view named;
+  if (admin != nullptr || !root["admin"].get(named)) {
+    config.admin = ParseAddress(admin != nullptr ? std::string(admin) : std::string(named));
+  } else if (!root["admin"].is_null() && root["admin"].error() != simdjson::NO_SUCH_FIELD) {
+    throw BadConfig(std::string(path) + ": \"admin\" is no text");
+  }
+  if (const char* folder = environment(platform::kFolderVariable)) config.folder = folder;
   std::string_view seed = Text(root, "seed", path);
   auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), config.seed, 16);
   if (error != std::errc() || end != seed.data() + seed.size()) {
--- a/src/config/platform_config.h
+++ b/src/config/platform_config.h
@@ -40,6 +40,9 @@
   std::string name;
   Address listen;
   Address discovery;
+  Address admin;  // of length 0: there is no second address
+  // Where small files may be kept between two processes; empty: nowhere.
+  std::string folder;
   uint64_t seed = 0;
   int sockets = 1024;
   HostList known;
--- /dev/null
+++ b/src/control/control_call.cpp
@@ -0,0 +1,90 @@
+#include "control/control_call.h"
+
+#include <optional>
+#include <string_view>
+
+#include "config/platform.h"
+
+namespace burlfall {
+namespace {
+
+constexpr size_t kLongestName = 256;
+
+std::string Answer(int status, std::string_view text, std::string_view allow = {}) {
+  std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
+  out.append(Reason(status)).append("\r\n");
+  if (!allow.empty()) AppendHeader(out, "Allow", allow);
+  AppendHeader(out, "Content-Type", "text/plain");
+  AppendHeader(out, "Content-Length", std::to_string(text.size() + 1));
+  AppendHeader(out, "Connection", "close");
+  return out.append("\r\n").append(text).append("\n");
+}
+
+std::string AnswerVerdict(Verdict verdict, std::string_view done) {
+  switch (verdict) {
+    case Verdict::kDone:
+      return Answer(200, done);
+    case Verdict::kUnknown:
+      return Answer(404, "no node of this id was ever listed");
+    case Verdict::kNotNow:
+      return Answer(409, "this process ends");
+    case Verdict::kFailed:
+      return Answer(500, "it can't be kept for the next start, and is not done");
+  }
+  return Answer(500, "");
+}
+
+int Hex(char c) {
+  if (c >= '0' && c <= '9') return c - '0';
+  if (c >= 'a' && c <= 'f') return c - 'a' + 10;
+  return c >= 'A' && c <= 'F' ? c - 'A' + 10 : -1;
+}
+
+// A path's part as it was meant; nothing where it is no such text.
+std::optional<std::string> Decode(std::string_view part) {
+  std::string out;
+  for (size_t i = 0; i < part.size(); ++i) {
+    if (part[i] != '%') {
+      out += part[i];
+      continue;
+    }
+    if (i + 2 >= part.size() || Hex(part[i + 1]) < 0 || Hex(part[i + 2]) < 0) return {};
+    out += static_cast<char>(Hex(part[i + 1]) * 16 + Hex(part[i + 2]));
+    i += 2;
+  }
+  if (out.empty() || out.size() > kLongestName) return {};
+  return out;
+}
+
+}  // namespace
+
+std::string AnswerBad(int status) { return Answer(status, Reason(status)); }
+
+std::string AnswerCall(const HttpMessage& call, Operations& operations) {
+  const std::string_view path = std::string_view(call.target).substr(0, call.target.find('?'));
+  const bool post = call.method == "POST";
+  if (path == platform::kHealthPath) {
+    if (call.method != "GET") return Answer(405, "GET asks", "GET");
+    return operations.Serving() ? Answer(200, "serving") : Answer(503, "not serving yet, or no more");
+  }
+  if (path == platform::kDrainPath || path == platform::kResumePath) {
+    if (!post) return Answer(405, "POST tells", "POST");
+    return path == platform::kDrainPath ? AnswerVerdict(operations.StandAside(), "draining")
+                                        : AnswerVerdict(operations.ComeBack(), "back to work");
+  }
+  std::string_view rest = path;
+  const std::string_view nodes = platform::kNodesPath;
+  if (!rest.starts_with(nodes)) return Answer(404, "no such call");
+  rest.remove_prefix(nodes.size());
+  const size_t slash = rest.find('/');
+  const std::string_view what = slash == std::string_view::npos ? "" : rest.substr(slash);
+  const bool out = what == platform::kOutPath;
+  if (!out && what != platform::kBackPath) return Answer(404, "no such call");
+  if (!post) return Answer(405, "POST tells", "POST");
+  const std::optional<std::string> name = Decode(rest.substr(0, slash));
+  if (!name) return Answer(400, "no id that can be read");
+  return out ? AnswerVerdict(operations.TakeOut(*name), "out")
+             : AnswerVerdict(operations.PutBack(*name), "back");
+}
+
+}  // namespace burlfall
--- /dev/null
+++ b/src/control/control_front.cpp
@@ -0,0 +1,131 @@
+#include "control/control_front.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+#include "control/control_call.h"
+
+namespace burlfall {
+namespace {
+
+constexpr size_t kMostCallBody = 4096;               // no call has one; a longer one is refused
+constexpr Micros kCallPatience = 3 * kSecond;    // for a whole call
+constexpr Micros kAnswerPatience = 1 * kSecond;  // for the caller to read its answer and go
+constexpr Micros kAcceptPause = 10 * kMs;
+
+}  // namespace
+
+ControlFront::ControlFront(Machine& machine, const Address& at, size_t most, Operations& operations)
+    : machine_(machine),
+      operations_(operations),
+      most_(most),
+      listener_(machine.network().Listen(at)),
+      bury_(machine.scheduler()) {}
+
+ControlFront::~ControlFront() = default;
+
+ControlFront::Call::Call(std::unique_ptr<Stream> from)
+    : stream(std::move(from)), parser(HttpParser::Kind::kRequest, kMostCallBody) {}
+
+void ControlFront::Open() {
+  burier_ = Bury();
+  burier_.Start();
+  accept_ = Accept();
+  accept_.Start();
+}
+
+Task<> ControlFront::Accept() {
+  while (true) {
+    bool none = false;
+    while (!none) {
+      MakeRoom();
+      std::unique_ptr<Stream> stream;
+      const Listener::Accepted accepted = listener_->Accept(stream);
+      none = accepted != Listener::Accepted::kOne;
+      if (none) {
+        // No notice tells when there is a descriptor again.
+        const bool room = accepted == Listener::Accepted::kNone;
+        co_await listener_->Wait(room ? kNever : machine_.Now() + kAcceptPause);
+        continue;
+      }
+      calls_.push_back(std::make_unique<Call>(std::move(stream)));
+      Call& call = *calls_.back();
+      call.task = Serve(call);
+      call.task.Start();  // reads at once: a call that came whole is answered before the next is taken
+    }
+  }
+}
+
+// The oldest goes, and of those that were answered the oldest first. Guards the next call against callers who
+// say nothing, or half a call, and stay.
+void ControlFront::MakeRoom() {
+  std::erase_if(calls_, [](const auto& call) { return call->over; });
+  if (calls_.size() < most_) return;
+  auto it = std::find_if(calls_.begin(), calls_.end(), [](const auto& call) { return call->answered; });
+  calls_.erase(it != calls_.end() ? it : calls_.begin());
+}
+
+// What is to be answered by now; empty while more has to come.
+std::string ControlFront::Read(Call& call, Parsed parsed) {
+  switch (parsed) {
+    case Parsed::kMore:
+      return "";
+    case Parsed::kDone:
+      return AnswerCall(call.parser.Take(), operations_);
+    case Parsed::kBad:
+      return AnswerBad(400);
+    case Parsed::kTooLarge:
+      return AnswerBad(call.parser.Take().method.empty() ? 431 : 413);
+  }
+  return "";
+}
+
+Task<> ControlFront::Serve(Call& call) {
+  const Micros until = machine_.Now() + kCallPatience;
+  std::string answer;
+  bool gone = false;
+  while (answer.empty() && !gone) {
+    const Io io = call.stream->Read(call.in);
+    if (io == Io::kSome) {
+      answer = Read(call, call.parser.Feed(call.in));
+      if (call.parser.ExpectsContinue()) {
+        std::string_view leave = "HTTP/1.1 100 Continue\r\n\r\n";
+        call.stream->Write(leave);
+      }
+    } else if (io == Io::kLater) {
+      bool notified = co_await call.stream->Wait(until);
+      if (!notified) answer = AnswerBad(408);
+    } else {
+      gone = true;
+    }
+  }
+  if (!gone) {
+    call.answered = true;
+    const Micros last = machine_.Now() + kAnswerPatience;
+    bool written = co_await WriteAll(*call.stream, answer, last);
+    if (written) call.stream->Finish();
+    // Until the caller's end: closing over bytes that were not read would reset the connection, and the
+    // answer could be lost.
+    while (written && machine_.Now() < last) {
+      call.in.clear();
+      const Io io = call.stream->Read(call.in);
+      if (io != Io::kSome && io != Io::kLater) break;
+      // A piece a turn: guards the others against a caller that pours on.
+      co_await call.stream->Wait(io == Io::kSome ? machine_.Now() : last);
+    }
+  }
+  call.stream->Close();
+  call.over = true;
+  bury_.Notify();
+}
+
+// Not at once: a call that is over is still running.
+Task<> ControlFront::Bury() {
+  while (true) {
+    co_await bury_.Wait();
+    std::erase_if(calls_, [](const auto& call) { return call->over; });
+  }
+}
+
+}  // namespace burlfall
--- /dev/null
+++ b/src/control/control_front.h
@@ -0,0 +1,60 @@
+// The second address: where operators tell this process what to do. One call to a connection, HTTP/1.1.
+#ifndef BURLFALL_CONTROL_CONTROL_FRONT_H_
+#define BURLFALL_CONTROL_CONTROL_FRONT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <string>
+
+#include "codec/http.h"
+#include "control/operations.h"
+#include "io/machine.h"
+
+namespace burlfall {
+
+class ControlFront {
+ public:
+  // Binds the address; throws std::system_error where that can't be done. It holds at most `most`
+  // connections, beside the listener.
+  ControlFront(Machine& machine, const Address& at, size_t most, Operations& operations);
+  ~ControlFront();
+
+  void Open();
+  uint16_t port() const { return PortOf(listener_->Local()); }
+  size_t open() const { return calls_.size(); }
+
+ private:
+  // One connection, from its call to its end.
+  struct Call {
+    explicit Call(std::unique_ptr<Stream> from);
+    std::unique_ptr<Stream> stream;
+    HttpParser parser;
+    std::string in;
+    bool answered = false;
+    bool over = false;
+    Task<> task;  // last: what it uses must outlive it
+  };
+  using Calls = std::list<std::unique_ptr<Call>>;  // the oldest first
+
+  Task<> Accept();
+  Task<> Serve(Call& call);
+  std::string Read(Call& call, Parsed parsed);
+  void MakeRoom();
+
+  Machine& machine_;
+  Operations& operations_;
+  const size_t most_;
+  std::unique_ptr<Listener> listener_;
+  Calls calls_;
+  Event bury_;
+  Task<> accept_;  // the tasks last: what they use must outlive them
+  Task<> burier_;
+
+  Task<> Bury();
+};
+
+}  // namespace burlfall
+
+#endif  // BURLFALL_CONTROL_CONTROL_FRONT_H_
--- a/src/front/http_front.cpp
+++ b/src/front/http_front.cpp
@@ -39,6 +39,16 @@
   accept_.Start();
 }
 
+void HttpFront::StandAside() { state_ = State::kAside; }
+
+// Links that were idle for a while: those that are in use are told with their next answer.
+void HttpFront::ThinOut() {
+  ShedUnasked(kIdleForClosing, kUnaskedFor, unasked_.size());  // a query that comes slowly may come
+  ShedIdle(kIdleForClosing);
+}
+
+void HttpFront::ComeBack() { state_ = State::kOpen; }
+
 void HttpFront::Leave() { state_ = State::kLeaving; }
 
 void HttpFront::Close() {
@@ -50,7 +60,7 @@
 
 bool HttpFront::Closed(bool hurry) {
   // One accepted a moment ago may have its first query on the way: it would be lost.
-  ShedUnasked(kIdleForClosing, unasked_.size());
+  ShedUnasked(kIdleForClosing, kIdleForClosing, unasked_.size());
   ShedIdle(kIdleForClosing);
   return owed_ == 0 && (open() == 0 || hurry);
 }
@@ -99,7 +109,7 @@
 // busy, or was accepted, a moment ago is no idle one: its next query may be on its way, and is lost if the
 // link closes now.
 bool HttpFront::MakeRoom(size_t wanted) {
-  ShedUnasked(kUnaskedForShedding, wanted);
+  ShedUnasked(kUnaskedForShedding, kUnaskedForShedding, wanted);
   for (auto& link : clients_) {
     if (!link->IdleSince(parts_.machine.Now() - kIdleForShedding)) continue;
     link->Leave();
@@ -111,12 +121,12 @@
 // Links that have said nothing go first, many at once and soon: clients that open them by hundreds would
 // else keep the usual ones, who wait behind them to be accepted, out for seconds. What has come on a link by
 // then is still read and answered.
-void HttpFront::ShedUnasked(Micros idle_for, size_t most) {
-  const Micros then = parts_.machine.Now() - idle_for;
+void HttpFront::ShedUnasked(Micros idle_for, Micros unfinished_for, size_t most) {
+  const Micros now = parts_.machine.Now(), then = now - idle_for;
   for (auto link = unasked_.begin(); link != unasked_.end() && most > 0; ++link) {
     if ((*link)->IdleSince(then)) {
       (*link)->Leave();
-    } else if ((*link)->UnfinishedSince(then)) {
+    } else if ((*link)->UnfinishedSince(now - unfinished_for)) {
       (*link)->Cut();
     } else {
       continue;
@@ -136,7 +146,7 @@
   while (true) {
     co_await sweep_.Wait(parts_.machine.Now() + kSweepEvery);
     if (crowded()) ShedIdle(kIdleWhereCrowded);
-    ShedUnasked(kUnaskedFor, unasked_.size());  // each is owed an end within 3 s
+    ShedUnasked(kUnaskedFor, kUnaskedFor, unasked_.size());  // each is owed an end within 3 s
   }
 }
 
--- a/src/front/http_front.h
+++ b/src/front/http_front.h
@@ -26,6 +26,7 @@
   enum class State {
     kShut,     // nothing is accepted yet
     kOpen,     // and says so, to whoever asks at /up
+    kAside,    // as leaving, but may be open again
     kLeaving,  // still accepts and answers, and asks clients to go elsewhere
     kClosing,  // accepts nothing more, answers what it owes
   };
@@ -45,6 +46,10 @@
   ~HttpFront();
 
   void Open();
+  // Says no at /up, and asks clients to go elsewhere; ThinOut() is then to be called now and then.
+  void StandAside();
+  void ThinOut();
+  void ComeBack();
   void Leave();
   // What has connected before the listener closes is served too.
   void Close();
@@ -65,7 +70,7 @@
   bool AcceptWaiting();
   Task<> Sweep();
   Task<> Bury();
-  void ShedUnasked(Micros idle_for, size_t most);
+  void ShedUnasked(Micros idle_for, Micros unfinished_for, size_t most);
   void ShedIdle(Micros idle_for);
   bool crowded() const { return open() * 6 >= static_cast<size_t>(parts_.config.sockets); }
 
--- a/src/io/files.h
+++ b/src/io/files.h
@@ -24,6 +24,9 @@
   virtual std::optional<std::string> Read(const std::string& path) = 0;
   // Nullptr where it can't be opened; `why` then says so in plain words.
   virtual std::unique_ptr<Writable> Write(const std::string& path, Open how, std::string& why) = 0;
+  // What stands there is then all of it, whenever this process ends: the old, or the new. False where that
+  // can't be done, and the old stands as it was; `why` then says so in plain words.
+  virtual bool Replace(const std::string& path, std::string_view text, std::string& why) = 0;
   // False where it can't be made; one that is there already is fine.
   virtual bool MakeFolder(const std::string& path) = 0;
   virtual std::vector<std::string> List(const std::string& folder) = 0;  // names, unsorted; none on error
--- a/src/io/real_files.cpp
+++ b/src/io/real_files.cpp
@@ -98,6 +98,21 @@
     return std::make_unique<DescriptorWriter>(DescriptorWriter::Kind::kOwn, -1, std::move(fd));
   }
 
+  bool Replace(const std::string& path, std::string_view text, std::string& why) override {
+    const std::string beside = path + ".new";
+    Descriptor fd(open(beside.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0640));
+    bool written = static_cast<bool>(fd);
+    while (written && !text.empty()) {
+      const ssize_t n = write(fd.get(), text.data(), text.size());
+      if (n > 0) text.remove_prefix(static_cast<size_t>(n));
+      written = n > 0 || (n < 0 && errno == EINTR);
+    }
+    if (written && rename(beside.c_str(), path.c_str()) == 0) return true;
+    why = std::strerror(errno);
+    if (fd) unlink(beside.c_str());
+    return false;
+  }
+
   bool MakeFolder(const std::string& path) override {
     std::error_code error;
     std::filesystem::create_directories(path, error);
--- a/src/links/budget.cpp
+++ b/src/links/budget.cpp
@@ -4,7 +4,9 @@
 
 namespace burlfall {
 
-void LinkBudget::Allow(size_t descriptors) { most_ = std::max(descriptors, 2 * kSpare) - kSpare; }
+void LinkBudget::Allow(size_t descriptors, size_t reserved) {
+  most_ = std::max(descriptors, 2 * kSpare + reserved) - kSpare - reserved;
+}
 
 size_t LinkBudget::open() const {
   size_t all = 0;
--- a/src/links/budget.h
+++ b/src/links/budget.h
@@ -22,8 +22,8 @@
  public:
   static constexpr size_t kSpare = 32;  // the listener, epoll, discovery, the standard streams, and some
 
-  // Of so many descriptors in all.
-  void Allow(size_t descriptors);
+  // Of so many descriptors in all, of which some are others' and no links'.
+  void Allow(size_t descriptors, size_t reserved = 0);
   // The holders that are asked first are added first; each must outlive the budget's use.
   void Add(LinkHolder& holder) { holders_.push_back(&holder); }
 
--- a/src/membership/host_group.cpp
+++ b/src/membership/host_group.cpp
@@ -56,7 +56,10 @@
   version_ = list.version;
   told.kind = list.full ? ListKind::kFull : ListKind::kChanges;
   if (list.full && settings_.gone_binds) {
-    for (auto& [id, host] : hosts_) host->state = BackendState::kGone;  // unless it is named below
+    for (auto& [id, host] : hosts_) {
+      host->listed = BackendState::kGone;  // unless it is named below
+      Settle(*host);
+    }
   }
   for (const HostEntry& e : list.hosts) {
     Host& host = Named(e.name);
@@ -66,10 +69,12 @@
       host.started_at = e.entry.started_at;
       ++host.era;  // links to its earlier life are of no use
     }
-    if (e.entry.state != BackendState::kGone || settings_.gone_binds) host.state = e.entry.state;
-    BackendEntry entry = e.entry;
-    entry.id = host.id;
-    told.entries.push_back(entry);
+    if (e.entry.state != BackendState::kGone) host.entry = e.entry;
+    if (e.entry.state != BackendState::kGone || settings_.gone_binds) host.listed = e.entry.state;
+    host.entry.id = host.id;
+    Settle(host);
+    told.entries.push_back(Told(host));
+    if (e.entry.state == BackendState::kGone) told.entries.back().state = BackendState::kGone;
   }
   if (list.full) {
     for (auto& [id, host] : hosts_) Count(*host);
@@ -79,6 +84,71 @@
   return told;
 }
 
+// The one place that weighs the operator's word against the list's.
+void HostGroup::Settle(Host& host) {
+  host.state = host.out && host.listed == BackendState::kReady ? BackendState::kDraining : host.listed;
+}
+
+// Started anew while it was out, at the latest when it was put back. Guards the rule on cold servers where
+// the list has not told of that start.
+BackendEntry HostGroup::Told(const Host& host) {
+  BackendEntry entry = host.entry;
+  entry.state = host.state;
+  if (host.back_at > 0 && entry.started_at < host.out_at) entry.started_at = host.back_at;
+  return entry;
+}
+
+Host* HostGroup::FindNamed(std::string_view name) {
+  auto it = by_name_.find(std::string(name));
+  return it == by_name_.end() ? nullptr : it->second;
+}
+
+bool HostGroup::TakeOut(std::string_view name, Micros now) {
+  Host* host = FindNamed(name);
+  if (host == nullptr) return false;
+  if (!host->out) host->out_at = now;
+  host->out = true;
+  Settle(*host);
+  Count(*host);
+  return true;
+}
+
+bool HostGroup::PutBack(std::string_view name, Micros now) {
+  Host* host = FindNamed(name);
+  if (host == nullptr) return false;
+  if (!std::exchange(host->out, false)) return true;
+  host->back_at = now;
+  ++host->era;  // links to its earlier life are of no use
+  Settle(*host);
+  Count(*host);
+  return true;
+}
+
+void HostGroup::TakeOutUnseen(const std::string& name, Micros since) {
+  Named(name);
+  TakeOut(name, since);
+}
+
+std::vector<OutHost> HostGroup::Out() const {
+  std::vector<OutHost> out;
+  for (const auto& [name, host] : by_name_) {
+    if (host->out) out.push_back({name, host->out_at});
+  }
+  std::sort(out.begin(), out.end(), [](const OutHost& a, const OutHost& b) { return a.name < b.name; });
+  return out;
+}
+
+BackendList HostGroup::AsItStands() const {
+  BackendList told;
+  told.kind = ListKind::kCached;  // the module must not take it for word from discovery
+  for (const auto& [id, host] : hosts_) {
+    if (host->listed != BackendState::kGone) told.entries.push_back(Told(*host));
+  }
+  std::sort(told.entries.begin(), told.entries.end(),
+            [](const BackendEntry& a, const BackendEntry& b) { return a.id < b.id; });
+  return told;
+}
+
 void HostGroup::Count(Host& host) {
   const bool restarted = std::exchange(host.era_counted, host.era) != host.era;
   if (std::exchange(host.state_counted, host.state) == host.state) {
--- a/src/membership/host_group.h
+++ b/src/membership/host_group.h
@@ -14,6 +14,7 @@
 #include "config/platform_config.h"
 #include "io/time.h"
 #include "meadowslip/balancer.h"
+#include "membership/out_file.h"
 #include "observe/labels.h"
 
 namespace burlfall {
@@ -22,7 +23,13 @@
   meadowslip::BackendId id = 0;
   std::string name;
   Address address;
+  // What holds: as the list has it, unless an operator has taken it out.
   meadowslip::BackendState state = meadowslip::BackendState::kGone;
+  meadowslip::BackendState listed = meadowslip::BackendState::kGone;
+  meadowslip::BackendEntry entry = {};  // as the list last told of it
+  bool out = false;                     // an operator has taken it out
+  Micros out_at = 0;
+  Micros back_at = 0;  // when an operator last put it back: it may have been started anew until then
   Micros started_at = 0;
   uint64_t era = 0;  // counts its restarts and changes of address
   meadowslip::BackendState state_counted = meadowslip::BackendState::kGone;  // in the changes
@@ -46,6 +53,18 @@
   // Takes the list in, and returns it as the module is to hear it: after this, so that both see the same
   // states.
   meadowslip::BackendList Take(const HostList& list);
+  // What an operator says goes before the list, until he puts the host back: it is draining meanwhile, and
+  // keeps the list's word for later. False where no list ever named it. Both may be said again.
+  bool TakeOut(std::string_view name, Micros now);
+  // It is then as the list has it, and cold: it was most likely started anew, whatever the list knows of
+  // that.
+  bool PutBack(std::string_view name, Micros now);
+  // For those that were out before this start; the list may name them later.
+  void TakeOutUnseen(const std::string& name, Micros since);
+  bool Names(std::string_view name) const { return by_name_.contains(std::string(name)); }
+  std::vector<OutHost> Out() const;  // by name
+  // The group as it stands, for the module; no list says it.
+  meadowslip::BackendList AsItStands() const;
   // Hosts are never forgotten: a reference holds as long as the group.
   const Host* Find(meadowslip::BackendId id) const;
   size_t Ready() const;                                    // how many are
@@ -58,6 +77,9 @@
 
  private:
   Host& Named(const std::string& name);
+  Host* FindNamed(std::string_view name);
+  static void Settle(Host& host);
+  static meadowslip::BackendEntry Told(const Host& host);
   void Count(Host& host);
 
   const meadowslip::Settings& settings_;
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -105,7 +105,7 @@
     b.credit = turn.Uniform() * b.first_work;
     b.credited_at = b.up_since = turn.now;
     b.limit = std::min(b.limit, kFirstLimit);
-    b.failures = 0;
+    b.failures = 0, b.wake_at = std::min(b.wake_at, turn.now);  // what slept was its earlier life
   }
   // A cold backend's budget is earned evenly, each node's part by itself, also where that is one request in
   // many windows. Work is reckoned in the class's usual latency against one core: both err on the safe side.
--- a/src/serve/program.h
+++ b/src/serve/program.h
@@ -10,6 +10,8 @@
 
 #include "config/platform_config.h"
 #include "config/properties.h"
+#include "control/control_front.h"
+#include "control/operations.h"
 #include "dispatch/dispatcher.h"
 #include "front/http_front.h"
 #include "gates/door.h"
@@ -33,11 +35,12 @@
   kDraining,  // told to end: still accepts and answers, and asks clients to go elsewhere
   kClosing,   // accepts nothing more, answers what it owes
   kStopped,
+  kAside,  // drained by hand: as draining, but it follows discovery and its operators, and may serve again
 };
 
-class Program {
+class Program final : private Operations {
  public:
-  // Binds the address; throws std::system_error where that can't be done. `log` and `counters` must outlive
+  // Binds the addresses; throws std::system_error where that can't be done. `log` and `counters` must outlive
   // it.
   Program(Machine& machine, Config config, const Properties& properties, Log& log, Counters& counters);
 
@@ -51,10 +54,21 @@
   void Finish();                              // what the features still have to write
   Phase phase() const { return phase_; }
   uint16_t port() const { return front_.port(); }
+  uint16_t admin_port() const { return control_ ? control_->port() : 0; }  // 0: there is no second address
   const Counters& counters() const { return counters_; }
   size_t descriptors() const;  // how many may be open
 
  private:
+  // What operators tell it.
+  bool Serving() const override { return phase_ == Phase::kServing || phase_ == Phase::kAside; }
+  Verdict TakeOut(std::string_view server) override;
+  Verdict PutBack(std::string_view server) override;
+  Verdict StandAside() override;
+  Verdict ComeBack() override;
+
+  void ReadOut();
+  bool KeepOut(const std::vector<OutHost>& out);
+  void HostsChanged();
   void Allow();
   void Take(const HostList* list, const std::string& why);
   void TellDescriptors();
@@ -76,7 +90,9 @@
   Dispatcher dispatcher_;
   std::unique_ptr<Capture> capture_;
   HttpFront front_;
+  std::optional<ControlFront> control_;
   Phase phase_ = Phase::kStarting;
+  Micros aside_since_ = 0;
   bool descriptors_tight_ = false;
   Event moved_;
   Event sweep_;
--- /dev/null
+++ b/tests/service/control_call_test.cpp
@@ -0,0 +1,78 @@
+#include "control/control_call.h"
+
+#include <gtest/gtest.h>
+
+namespace burlfall {
+namespace {
+
+class Told : public Operations {
+ public:
+  bool Serving() const override { return serving; }
+  Verdict TakeOut(std::string_view server) override { return Say("out " + std::string(server)); }
+  Verdict PutBack(std::string_view server) override { return Say("back " + std::string(server)); }
+  Verdict StandAside() override { return Say("aside"); }
+  Verdict ComeBack() override { return Say("come back"); }
+  Verdict Say(const std::string& what) {
+    last = what;
+    return verdict;
+  }
+  std::string last;
+  bool serving = true;
+  Verdict verdict = Verdict::kDone;
+};
+
+std::string Ask(Told& told, const std::string& method, const std::string& target) {
+  HttpMessage call;
+  call.method = method;
+  call.target = target;
+  told.last.clear();
+  const std::string answer = AnswerCall(call, told);
+  EXPECT_NE(answer.find("\r\nConnection: close\r\n"), std::string::npos);
+  return answer.substr(9, 3);
+}
+
+TEST(ControlCall, EachCallIsToldAndAnswered) {
+  Told told;
+  EXPECT_EQ(Ask(told, "POST", "/nodes/s-5be2a07c/maint"), "200");
+  EXPECT_EQ(told.last, "out s-5be2a07c");
+  EXPECT_EQ(Ask(told, "POST", "/nodes/a%2Fb%20c/ready?x=1"), "200");
+  EXPECT_EQ(told.last, "back a/b c");
+  EXPECT_EQ(Ask(told, "POST", "/healthcheck/fail"), "200");
+  EXPECT_EQ(told.last, "aside");
+  EXPECT_EQ(Ask(told, "POST", "/healthcheck/ok"), "200");
+  EXPECT_EQ(told.last, "come back");
+  EXPECT_EQ(Ask(told, "GET", "/healthcheck"), "200");
+  told.serving = false;
+  EXPECT_EQ(Ask(told, "GET", "/healthcheck"), "503");
+}
+
+TEST(ControlCall, ANoSaysWhichNo) {
+  Told told;
+  told.verdict = Verdict::kUnknown;
+  EXPECT_EQ(Ask(told, "POST", "/nodes/s-1/maint"), "404");
+  told.verdict = Verdict::kNotNow;
+  EXPECT_EQ(Ask(told, "POST", "/healthcheck/ok"), "409");
+  told.verdict = Verdict::kFailed;
+  EXPECT_EQ(Ask(told, "POST", "/nodes/s-1/maint"), "500");
+}
+
+TEST(ControlCall, WhatIsNoCallChangesNothing) {
+  Told told;
+  for (const char* target : {"/", "/up", "/nodes/", "/nodes/s-1", "/nodes/s-1/", "/nodes/s-1/maint/",
+                             "/nodes", "/healthcheck/", "/nodes/a/b/maint"}) {
+    EXPECT_EQ(Ask(told, "POST", target), "404") << target;
+    EXPECT_EQ(told.last, "") << target;
+  }
+  for (const char* target : {"/nodes//maint", "/nodes/%4/ready", "/nodes/%zz/ready"}) {
+    EXPECT_EQ(Ask(told, "POST", target), "400") << target;
+    EXPECT_EQ(told.last, "") << target;
+  }
+  EXPECT_EQ(Ask(told, "POST", "/nodes/" + std::string(300, 'x') + "/maint"), "400");
+  EXPECT_EQ(Ask(told, "GET", "/nodes/s-1/maint"), "405");
+  EXPECT_EQ(Ask(told, "GET", "/healthcheck/fail"), "405");
+  EXPECT_EQ(Ask(told, "POST", "/healthcheck"), "405");
+  EXPECT_EQ(told.last, "");
+}
+
+}  // namespace
+}  // namespace burlfall
--- /dev/null
+++ b/tests/service/host_group_test.cpp
@@ -0,0 +1,198 @@
+// Hosts that operators take out: their word goes before the list's, for the module and the upstream alike.
+#include "membership/host_group.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace burlfall {
+namespace {
+
+using meadowslip::BackendEntry, meadowslip::BackendList, meadowslip::BackendState;
+
+HostList List(bool full, std::vector<std::pair<std::string, BackendState>> hosts, Micros started_at = 0) {
+  HostList list;
+  list.version = 1;
+  list.full = full;
+  for (auto& [name, state] : hosts) {
+    HostEntry e;
+    e.name = name;
+    if (state != BackendState::kGone) e.address = *ReadAddress("127.0.0.1:9000");
+    e.entry.state = state;
+    e.entry.started_at = started_at;
+    list.hosts.push_back(e);
+  }
+  return list;
+}
+
+BackendState StateOf(const HostGroup& group, const BackendList& told, const std::string& name) {
+  for (const BackendEntry& e : told.entries) {
+    if (group.NameOf(e.id) == name) return e.state;
+  }
+  return BackendState::kGone;
+}
+
+class Group : public testing::Test {
+ protected:
+  Group() { hosts.Take(List(true, {{"a", BackendState::kReady}, {"b", BackendState::kReady}})); }
+  BackendState Here(const std::string& name) const {
+    BackendState state = BackendState::kGone;
+    for (const auto& [id, known] : hosts.AllNames()) {
+      if (known == name) state = hosts.Find(id)->state;
+    }
+    return state;
+  }
+  meadowslip::Settings settings;
+  HostGroup hosts{settings};
+};
+
+TEST_F(Group, OneThatWasNeverListedCantBeTakenOut) {
+  EXPECT_FALSE(hosts.TakeOut("c", 1));
+  EXPECT_FALSE(hosts.PutBack("c", 1));
+  EXPECT_FALSE(hosts.Names("c"));
+}
+
+TEST_F(Group, TakenOutIsDrainingWhateverTheListSays) {
+  ASSERT_TRUE(hosts.TakeOut("a", 1));
+  EXPECT_EQ(Here("a"), BackendState::kDraining);
+  EXPECT_EQ(StateOf(hosts, hosts.AsItStands(), "a"), BackendState::kDraining);
+  EXPECT_EQ(StateOf(hosts, hosts.AsItStands(), "b"), BackendState::kReady);
+  for (bool full : {true, false}) {
+    const BackendList told =
+        hosts.Take(List(full, {{"a", BackendState::kReady}, {"b", BackendState::kReady}}, 5));
+    EXPECT_EQ(StateOf(hosts, told, "a"), BackendState::kDraining);
+    EXPECT_EQ(Here("a"), BackendState::kDraining);
+  }
+  hosts.Take(List(false, {{"a", BackendState::kGone}}));
+  EXPECT_EQ(Here("a"), BackendState::kGone);
+  hosts.Take(List(true, {{"b", BackendState::kReady}}));
+  const BackendList back = hosts.Take(List(false, {{"a", BackendState::kReady}}, 9));
+  EXPECT_EQ(StateOf(hosts, back, "a"), BackendState::kDraining);
+  EXPECT_EQ(hosts.Out(), (std::vector<OutHost>{{"a", 1}}));
+}
+
+TEST_F(Group, CallsOutAreOneBanAndOneCallBackEndsIt) {
+  hosts.TakeOut("a", 1);
+  hosts.TakeOut("a", 7);
+  EXPECT_EQ(hosts.Out(), (std::vector<OutHost>{{"a", 1}}));
+  hosts.PutBack("a", 10);
+  EXPECT_EQ(Here("a"), BackendState::kReady);
+  EXPECT_TRUE(hosts.Out().empty());
+}
+
+TEST_F(Group, BackIsAsTheListHasItNow) {
+  hosts.TakeOut("a", 1);
+  hosts.Take(List(false, {{"a", BackendState::kDraining}}));
+  hosts.PutBack("a", 10);
+  EXPECT_EQ(Here("a"), BackendState::kDraining);
+  hosts.TakeOut("b", 11);
+  hosts.Take(List(false, {{"b", BackendState::kGone}}));
+  hosts.PutBack("b", 12);
+  EXPECT_EQ(Here("b"), BackendState::kGone);
+}
+
+Micros StartOf(const HostGroup& group, const std::string& name) {
+  for (const BackendEntry& e : group.AsItStands().entries) {
+    if (group.NameOf(e.id) == name) return e.started_at;
+  }
+  return -1;
+}
+
+TEST_F(Group, BackIsColdAlsoWhereTheListKnowsOfNoRestart) {
+  hosts.TakeOut("a", 100);
+  hosts.PutBack("a", 200);
+  EXPECT_EQ(StartOf(hosts, "a"), 200);
+  hosts.Take(List(true, {{"a", BackendState::kReady}, {"b", BackendState::kReady}}, 50));  // old news
+  EXPECT_EQ(StartOf(hosts, "a"), 200);
+  EXPECT_EQ(StartOf(hosts, "b"), 50);
+  hosts.Take(List(false, {{"a", BackendState::kReady}}, 150));  // the restart itself
+  EXPECT_EQ(StartOf(hosts, "a"), 150);
+}
+
+TEST_F(Group, LinksToTheLifeBeforeAreOfNoUse) {
+  const auto id = hosts.AsItStands().entries.front().id;
+  const uint64_t era = hosts.Find(id)->era;
+  hosts.TakeOut(hosts.NameOf(id), 1);
+  hosts.PutBack(hosts.NameOf(id), 2);
+  EXPECT_NE(hosts.Find(id)->era, era);
+}
+
+TEST_F(Group, OneThatWasOutBeforeTheStartIsOutOnceListed) {
+  hosts.TakeOutUnseen("late", 1);
+  EXPECT_EQ(StateOf(hosts, hosts.Take(List(false, {{"late", BackendState::kReady}})), "late"),
+            BackendState::kDraining);
+}
+
+// The module's side: what the group says of a node that is back reaches it, and a sleep that the restart
+// earned does not keep the node idle.
+class Sends final : public meadowslip::ActionSink {
+ public:
+  void Send(meadowslip::RequestId id, meadowslip::BackendId backend, Micros) override {
+    last = backend;
+    out.push_back({id, backend});
+  }
+  void Refuse(meadowslip::RequestId, Micros) override {}
+  void Fail(meadowslip::RequestId) override {}
+  void Cancel(meadowslip::RequestId, int) override {}
+  void Schedule(Micros, uint64_t) override {}
+  void Probe(meadowslip::BackendId) override {}
+  void Subscribe() override {}
+  meadowslip::BackendId last = 0;
+  std::vector<std::pair<meadowslip::RequestId, meadowslip::BackendId>> out;
+};
+
+TEST(NodeBack, GetsAQueryWithinFiveSecondsThoughItsRestartPutItToSleep) {
+  meadowslip::Settings settings;
+  meadowslip::RequestClass c;
+  c.idempotency = meadowslip::Idempotency::kSafe;
+  c.aim = 500 * kMs;
+  c.deadline = 2 * kSecond;
+  settings.classes.push_back(c);
+  settings.max_attempts = 1;
+  HostGroup hosts(settings);
+  meadowslip::Balancer module(settings, 1);
+  Sends sends;
+  Micros now = 1000 * kSecond;
+  module.OnList(
+      now,
+      hosts.Take(List(
+          true, {{"a", BackendState::kReady}, {"b", BackendState::kReady}, {"c", BackendState::kReady}})),
+      sends);
+  meadowslip::BackendId a = 0;
+  for (const auto& [id, name] : hosts.AllNames()) a = name == "a" ? id : a;
+  uint64_t next = 0;
+  int to_a = 0;
+  // `a` fails all it gets while `broken`; one query each 10 ms.
+  auto play = [&](Micros span, bool broken) {
+    for (const Micros until = now + span; now < until; now += 10 * kMs) {
+      meadowslip::Request r;
+      r.id = ++next;
+      r.give_up_at = now + c.deadline;
+      module.OnRequest(now, r, sends);
+      for (auto [id, backend] : std::exchange(sends.out, {})) {
+        to_a += backend == a;
+        meadowslip::AttemptResult result;
+        result.id = id;
+        result.closed = true;
+        result.backend = backend;
+        result.elapsed = kMs;
+        result.outcome = broken && backend == a ? meadowslip::Outcome::kReset : meadowslip::Outcome::kOk;
+        module.OnResult(now + kMs, result, sends);
+      }
+    }
+  };
+  play(5 * kSecond, false);
+  for (int i = 0; i < 6; ++i) play(20 * kSecond, true);  // it sleeps for half a minute by now
+  hosts.TakeOut("a", now);
+  module.OnList(now, hosts.AsItStands(), sends);
+  to_a = 0;
+  play(3 * kSecond, false);
+  EXPECT_EQ(to_a, 0);
+  hosts.PutBack("a", now);
+  module.OnList(now, hosts.AsItStands(), sends);
+  play(5 * kSecond, false);
+  EXPECT_GT(to_a, 0);
+}
+
+}  // namespace
+}  // namespace burlfall
--- /dev/null
+++ b/tests/service/operators.h
@@ -0,0 +1,38 @@
+// What the stories of service share: a folder that two processes see, and an operator's calls.
+#ifndef BURLFALL_TESTS_SERVICE_OPERATORS_H_
+#define BURLFALL_TESTS_SERVICE_OPERATORS_H_
+
+#include <stdlib.h>
+
+#include <filesystem>
+#include <string>
+
+#include "stories/peers.h"
+
+namespace burlfall {
+
+class Folder {
+ public:
+  Folder() {
+    std::string made = (std::filesystem::temp_directory_path() / "burlfall-XXXXXX").string();
+    REQUIRE(mkdtemp(made.data()) != nullptr);
+    path = made;
+  }
+  Folder(const Folder&) = delete;
+  ~Folder() { std::filesystem::remove_all(path); }
+  std::string path;
+};
+
+// The status of an operator's call; 0: the connection ended without an answer.
+inline int Call(uint16_t port, const std::string& method, const std::string& path) {
+  Link link = Link::To(port);
+  link.Write(method + " " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+  const std::string answer = link.Read();
+  return answer.empty() ? 0 : std::stoi(answer.substr(9, 3));
+}
+inline int Tell(uint16_t port, const std::string& path) { return Call(port, "POST", path); }
+inline int Up(uint16_t port) { return Call(port, "GET", "/up"); }
+
+}  // namespace burlfall
+
+#endif  // BURLFALL_TESTS_SERVICE_OPERATORS_H_
--- a/tests/stories/peers.h
+++ b/tests/stories/peers.h
@@ -155,6 +155,8 @@
   int sockets = 1024;
   int connect_timeout = 1000000;
   int keepalive = 10000000;
+  std::string admin = {};  // empty: no second address
+  int memory_mb = 192;
 };
 
 // The class `look` is safe, `pay` is keyed and `open` is unsafe.
@@ -164,8 +166,10 @@
            R"(","Group":"all","DedupWindow":60000000,"Slo":8000000,"HardLimit":10000000,"Worth":1.0})";
   };
   return R"({"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:)" + std::to_string(setup.discovery) +
-         R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":)" +
-         std::to_string(setup.sockets) + R"(},"known":)" + List(1, true, setup.known) +
+         "\"" + (setup.admin.empty() ? "" : ",\"admin\":\"" + setup.admin + "\"") +
+         R"(,"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":)" +
+         std::to_string(setup.memory_mb) + R"(,"sockets":)" + std::to_string(setup.sockets) +
+         R"(},"known":)" + List(1, true, setup.known) +
          R"(,"settings":{"Balancers":1,"MyZone":0,"Zones":["a"],"MachineTypes":["m"],"Categories":[)" +
          one("look", "pure") + "," + one("pay", "token") + "," + one("open", "side_effect") +
          R"(],"Realms":[],"MembershipMode":"subscribe","Caps":{"Cancel":true,"SendCap":5,)" +
@@ -194,11 +198,17 @@
   }
 };
 
+// What the child finds beside the configuration.
+struct World {
+  std::map<std::string, std::string> variables = {};
+  int passed = -1;  // a descriptor that it inherits as number 5
+};
+
 // The program, as its operators start it.
 class Program {
  public:
   explicit Program(const std::string& config, std::vector<std::string> words = {"serve"},
-                   const char* discovery = nullptr) {
+                   const char* discovery = nullptr, const World& world = {}) {
     Configure(config);
     int ends[2];
     REQUIRE(pipe(ends) == 0);
@@ -211,6 +221,8 @@
       close(ends[1]);
       setenv("PROXY_CONFIG", path_.c_str(), 1);
       if (discovery) setenv("PROXY_DISCOVERY", discovery, 1);
+      for (const auto& [name, value] : world.variables) setenv(name.c_str(), value.c_str(), 1);
+      if (world.passed >= 0) dup2(world.passed, 5);
       std::vector<char*> args = {const_cast<char*>(BURLFALL)};
       for (std::string& word : words) args.push_back(word.data());
       args.push_back(nullptr);
@@ -222,9 +234,11 @@
     for (std::string line = Line(); !line.empty(); line = Line()) {
       output += line;
       if (line.find("serves at") == std::string::npos && !line.starts_with(R"({"event":"serving")")) continue;
-      port = static_cast<uint16_t>(std::stoul(line.substr(line.find("127.0.0.1:") + 10)));
+      port = PortIn(line);
       break;
     }
+    const size_t heard = output.find("operators are heard at");
+    if (heard != std::string::npos) admin = PortIn(output.substr(heard));
   }
   Program(const Program&) = delete;
   ~Program() {
@@ -274,11 +288,21 @@
     }
     return line;
   }
+  pid_t pid() const { return pid_; }
   uint16_t port = 0;
+  uint16_t admin = 0;
   std::string output;
 
  private:
-  std::string path_ = "burlfall_test_" + std::to_string(getpid()) + ".json";
+  static uint16_t PortIn(const std::string& line) {
+    return static_cast<uint16_t>(std::stoul(line.substr(line.find("127.0.0.1:") + 10)));
+  }
+  static int& Made() {
+    static int made = 0;
+    return made;
+  }
+
+  std::string path_ = "burlfall_test_" + std::to_string(getpid()) + "_" + std::to_string(++Made()) + ".json";
   pid_t pid_ = -1;
   Descriptor out_;
 };
