--- a/src/codec/http.h
+++ b/src/codec/http.h
@@ -49,6 +49,7 @@
   bool
   ExpectsContinue();   // true once, where the body is outstanding and the sender waits for leave to send it
   HttpMessage Take();  // after kDone; the parser is then at the next message
+  bool AtHead() const { return part_ == Part::kHead; }  // and nothing of it was taken off the buffer
   int Status() const { return part_ == Part::kHead ? 0 : message_.status; }  // once the head has come
 
  private:
--- a/src/config/platform_config.cpp
+++ b/src/config/platform_config.cpp
@@ -181,7 +181,21 @@
   } else if (!root["admin"].is_null() && root["admin"].error() != simdjson::NO_SUCH_FIELD) {
     throw BadConfig(std::string(path) + ": \"admin\" is no text");
   }
-  if (const char* folder = environment(platform::kFolderVariable)) config.folder = folder;
+  if (const char* passed = environment(platform::kPassedVariable)) {
+    const std::string number = passed;
+    auto [stop, wrong] = std::from_chars(passed, passed + number.size(), config.passed);
+    if (wrong != std::errc() || stop != passed + number.size() || config.passed < 0) {
+      throw BadConfig(std::string(platform::kPassedVariable) + ": not a descriptor: " + number.substr(0, 60));
+    }
+  }
+  const char* folder = environment(platform::kFolderVariable);
+  if (folder != nullptr && (config.admin.length > 0 || config.passed >= 0)) {
+    std::string why;
+    if (!files.Usable(folder, why)) {
+      throw BadConfig(std::string(platform::kFolderVariable) + ": " + folder + ": " + why);
+    }
+    config.folder = folder;
+  }
   std::string_view seed = Text(root, "seed", path);
   auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), config.seed, 16);
   if (error != std::errc() || end != seed.data() + seed.size()) {
--- a/src/config/platform_config.h
+++ b/src/config/platform_config.h
@@ -40,7 +40,8 @@
   std::string name;
   Address listen;
   Address discovery;
-  Address admin;  // of length 0: there is no second address
+  Address admin;    // of length 0: there is no second address
+  int passed = -1;  // a descriptor that is the clients' listener; -1: none was passed
   // Where small files may be kept between two processes; empty: nowhere.
   std::string folder;
   uint64_t seed = 0;
--- a/src/control/control_front.cpp
+++ b/src/control/control_front.cpp
@@ -9,7 +9,7 @@
 namespace burlfall {
 namespace {
 
-constexpr size_t kMostCallBody = 4096;               // no call has one; a longer one is refused
+constexpr size_t kMostCallBody = 4096;           // no call has one; a longer one is refused
 constexpr Micros kCallPatience = 3 * kSecond;    // for a whole call
 constexpr Micros kAnswerPatience = 1 * kSecond;  // for the caller to read its answer and go
 constexpr Micros kAcceptPause = 10 * kMs;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -12,6 +12,7 @@
                        Upstream& upstream, std::function<void()> follow, Counters& counters)
     : scheduler_(scheduler),
       settings_(settings),
+      seed_(seed),
       upstream_(upstream),
       follow_(std::move(follow)),
       counters_(counters),
@@ -59,6 +60,7 @@
   Query& query = *known;
   Attempt& attempt = query.attempts[static_cast<size_t>(result.attempt)];
   attempt.task = Task<>();
+  attempt.heard = true;
   --query.out;
   Count(result.answer.outcome);
   if (result.answer.outcome == Outcome::kOk && !query.closed) {
@@ -105,6 +107,79 @@
   balancer_.OnList(now, list, *this);
 }
 
+// ---- From one process to the next ------------------------------------------------------------------------
+
+Carried Dispatcher::Carry() const {
+  Carried all;
+  all.module = balancer_.Save();
+  all.now = scheduler_.Now();
+  all.last_id = last_id_;
+  for (auto left = timers_; !left.empty(); left.pop()) all.timers.push_back({left.top().at, left.top().name});
+  for (const auto& [id, query] : queries_) {
+    Carried::Query& q = all.queries.emplace_back();
+    q.id = id;
+    q.sent = static_cast<int>(query.attempts.size());
+    for (int n = 0; n < q.sent; ++n) {
+      const Attempt& attempt = query.attempts[static_cast<size_t>(n)];
+      if (!attempt.heard) q.out.push_back({n, attempt.backend, attempt.sent_at});
+    }
+  }
+  return all;
+}
+
+// Takes what the module does while another process's queries are settled: nothing of it is carried out, but a
+// send must be settled too, and timers run on.
+class Dispatcher::Settler final : public meadowslip::ActionSink {
+ public:
+  explicit Settler(Dispatcher& of) : of_(of) {}
+  void Send(RequestId id, BackendId backend, Micros) override {
+    out.emplace_back(id, Carried::Attempt{sent[id]++, backend, of_.scheduler_.Now()});
+  }
+  void Schedule(Micros delay, uint64_t timer) override { of_.Schedule(delay, timer); }
+  void Refuse(RequestId, Micros) override {}
+  void Fail(RequestId) override {}
+  void Cancel(RequestId, int) override {}
+  void Probe(BackendId) override {}
+  void Subscribe() override {}
+  std::unordered_map<RequestId, int> sent;
+  std::vector<std::pair<RequestId, Carried::Attempt>> out;
+
+ private:
+  Dispatcher& of_;
+};
+
+bool Dispatcher::TakeOver(const Carried& from) {
+  if (!balancer_.Load(from.module)) {
+    balancer_ = meadowslip::Balancer(settings_, seed_);  // what could not take a state is of no use
+    return false;
+  }
+  last_id_ = from.last_id;
+  for (const Carried::Timer& timer : from.timers) {
+    timers_.push({timer.at, ++timers_set_, timer.name});
+  }
+  const Micros now = scheduler_.Now();
+  Settler settler(*this);
+  for (const Carried::Query& q : from.queries) {
+    settler.sent[q.id] = q.sent;
+    for (const Carried::Attempt& attempt : q.out) settler.out.emplace_back(q.id, attempt);
+  }
+  // Left first, all of them: a result for one may let the module send another.
+  for (const Carried::Query& q : from.queries) balancer_.OnClientLeft(now, q.id, settler);
+  while (!settler.out.empty()) {
+    const auto [id, attempt] = settler.out.back();
+    settler.out.pop_back();
+    meadowslip::AttemptResult told;
+    told.id = id;
+    told.attempt = attempt.number;
+    told.closed = true;
+    told.backend = attempt.backend;
+    told.elapsed = now - attempt.sent_at;
+    told.outcome = Outcome::kMoot;  // says nothing of the server
+    balancer_.OnResult(now, told, settler);
+  }
+  return true;
+}
+
 // ---- Queries ---------------------------------------------------------------------------------------------
 
 RequestId Dispatcher::Take(Asked asked) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "dispatch/carried.h"
 #include "dispatch/query.h"
 #include "io/scheduler.h"
 #include "meadowslip/balancer.h"
@@ -36,6 +37,12 @@
   meadowslip::RequestId Take(Asked asked);
   void Left(meadowslip::RequestId id);  // the asker did, without its answer
   std::string Save() const { return balancer_.Save(); }
+  Carried Carry() const;
+  // Goes on where the other left off, before Start() and any query. The other's queries are settled for the
+  // module: their answers are not ours to give. False where the state is none that this module can take; it
+  // is then as new.
+  bool TakeOver(const Carried& from);
+  size_t open() const { return queries_.size(); }
 
   // The module's actions.
   void Send(meadowslip::RequestId id, meadowslip::BackendId backend, Micros timeout) override;
@@ -51,6 +58,7 @@
     meadowslip::BackendId backend = 0;
     Micros sent_at = 0;
     bool ended = false;  // its outcome is known, though the module may not have heard yet
+    bool heard = false;  // it has
     Task<> task;
   };
   struct Query {
@@ -74,6 +82,8 @@
     }
   };
 
+  class Settler;
+
   Task<> Turns();
   Task<> Try(meadowslip::RequestId id, int attempt, meadowslip::BackendId backend, Micros until);
   void Post(meadowslip::RequestId id, int attempt, ServerAnswer answer);
@@ -89,6 +99,7 @@
 
   Scheduler& scheduler_;
   const meadowslip::Settings& settings_;
+  const uint64_t seed_;
   Upstream& upstream_;
   std::function<void()> follow_;
   Counters& counters_;
--- a/src/front/client_link.cpp
+++ b/src/front/client_link.cpp
@@ -53,8 +53,12 @@
 
 }  // namespace
 
-ClientLink::ClientLink(std::unique_ptr<Stream> stream, HttpFront& front)
-    : front_(front), stream_(std::move(stream)) {}
+ClientLink::ClientLink(std::unique_ptr<Stream> stream, HttpFront& front, QuietLink from)
+    : asked(from.asked),
+      front_(front),
+      stream_(std::move(stream)),
+      in_(std::move(from.read)),
+      began_before_(from.began) {}
 
 void ClientLink::Start() {
   idle_since_ = stream_->scheduler().Now();
@@ -88,13 +92,13 @@
   if (told_ && !cut_) co_await Linger();
   // Here and now, not when the front buries this link: an idle link was read empty a moment ago, and a query
   // that comes between that and the close is lost. Guards against the turn that once lay between the two.
-  stream_->Close();
+  if (!passed_) stream_->Close();
   front_.Retire(*this);
 }
 
 // False where the link is to be closed without an answer, or was answered by an error of ours.
 Task<bool> ClientLink::ReadQuery() {
-  began_ = 0;
+  began_ = std::exchange(began_before_, 0);
   while (true) {
     if (began_ == 0 && !in_.empty()) began_ = stream_->scheduler().Now();
     Parsed parsed = in_.empty() ? Parsed::kMore : parser_.Feed(in_);
@@ -106,6 +110,10 @@
       if (io != Io::kLater) co_return false;
       // Only here, with nothing left to read: what has come whole gets its answer.
       if (leave_ && began_ == 0) co_return false;
+      if (front_.passes() && !cut_ && parser_.AtHead()) {
+        passed_ = front_.Pass(*stream_, {asked, began_, in_}) == Io::kSome;
+        if (passed_) co_return false;
+      }
       if (!cut_ || began_ == 0) {
         bool notified = co_await stream_->Wait(began_ == 0 ? kNever : began_ + kReadPatience);
         if (notified) continue;
--- a/src/front/client_link.h
+++ b/src/front/client_link.h
@@ -14,9 +14,16 @@
 
 class HttpFront;
 
+// A link without a query at hand, as it goes from one process to the next.
+struct QuietLink {
+  bool asked = false;  // has had a query
+  Micros began = 0;    // when the first bytes of the query that was begun came; 0: none has
+  std::string read;    // those bytes: a piece of its head
+};
+
 class ClientLink final : public Asker {
  public:
-  ClientLink(std::unique_ptr<Stream> stream, HttpFront& front);
+  ClientLink(std::unique_ptr<Stream> stream, HttpFront& front, QuietLink from = {});
   void Start();
 
   // The final answer to the query at hand; exactly one of these.
@@ -32,8 +39,9 @@
   bool UnfinishedSince(Micros then) const {
     return !busy_ && !cut_ && !leaving_ && began_ != 0 && began_ <= then;
   }
-  void Leave();  // closes as soon as it is idle
-  void Cut();    // gives up on a query that is not whole
+  void Stir() { stream_->Notify(); }  // looks anew at what it is to do
+  void Leave();                       // closes as soon as it is idle
+  void Cut();                         // gives up on a query that is not whole
 
   // Among the front's links.
   std::list<std::unique_ptr<ClientLink>>::iterator place;
@@ -55,7 +63,8 @@
   HttpParser parser_{HttpParser::Kind::kRequest};
   std::string in_;
   std::string out_;
-  Micros began_ = 0;  // when the first bytes of the query came
+  Micros began_before_ = 0;  // in the process that had the link before
+  Micros began_ = 0;         // when the first bytes of the query came
   Micros idle_since_ = 0;
   bool busy_ = false;
   bool answered_ = false;
@@ -63,8 +72,9 @@
   bool leave_ = false;
   bool cut_ = false;
   bool leaving_ = false;
-  bool told_ = false;  // an error of ours, or the last answer: the client may not have read it yet
-  Task<> task_;        // last: what it uses must outlive it
+  bool passed_ = false;  // it is another process's
+  bool told_ = false;    // an error of ours, or the last answer: the client may not have read it yet
+  Task<> task_;          // last: what it uses must outlive it
 };
 
 }  // namespace burlfall
--- a/src/front/http_front.cpp
+++ b/src/front/http_front.cpp
@@ -1,8 +1,11 @@
 #include "front/http_front.h"
 
 #include <iterator>
+#include <system_error>
 #include <utility>
 
+#include "config/platform.h"
+
 namespace burlfall {
 namespace {
 
@@ -15,11 +18,22 @@
 constexpr Micros kIdleWhereCrowded = 2 * kSecond;  // no link need stay for longer without a query
 constexpr size_t kShedAtOnce = 64;
 
+// Where clients connect: passed on by whoever holds it, or our own.
+std::unique_ptr<Listener> DoorOf(const HttpFront::Parts& parts) {
+  Network& network = parts.machine.network();
+  if (parts.config.passed < 0) return network.Listen(parts.config.listen);
+  try {
+    return network.Adopt(parts.config.passed);
+  } catch (const std::system_error& e) {
+    throw BadConfig(std::string(platform::kPassedVariable) + ": " + e.what());
+  }
+}
+
 }  // namespace
 
 HttpFront::HttpFront(const Parts& parts)
     : parts_(parts),
-      listener_(parts.machine.network().Listen(parts.config.listen)),
+      listener_(DoorOf(parts)),
       sweep_(parts.machine.scheduler()),
       bury_(parts.machine.scheduler()) {}
 
@@ -35,10 +49,37 @@
   burier_.Start();
   sweeper_ = Sweep();
   sweeper_.Start();
+  Reopen();
+}
+
+void HttpFront::Shut() {
+  accept_ = Task<>();
+  shut_ = true;
+}
+
+void HttpFront::Reopen() {
+  if (!std::exchange(shut_, false)) return;
   accept_ = Accept();
   accept_.Start();
 }
 
+void HttpFront::PassOn(Passing pass) {
+  pass_ = std::move(pass);
+  Stir();
+}
+
+void HttpFront::Stir() {
+  for (auto& link : unasked_) link->Stir();
+  for (auto& link : clients_) link->Stir();
+}
+
+void HttpFront::Take(std::unique_ptr<Stream> stream, QuietLink link) {
+  Links& links = link.asked ? clients_ : unasked_;
+  links.push_back(std::make_unique<ClientLink>(std::move(stream), *this, std::move(link)));
+  links.back()->place = std::prev(links.end());
+  links.back()->Start();
+}
+
 void HttpFront::StandAside() { state_ = State::kAside; }
 
 // Links that were idle for a while: those that are in use are told with their next answer.
@@ -53,8 +94,10 @@
 
 void HttpFront::Close() {
   state_ = State::kClosing;
-  accept_ = Task<>();
-  AcceptWaiting();
+  if (!shut_) {
+    Shut();
+    AcceptWaiting();
+  }
   listener_.reset();
 }
 
--- a/src/front/http_front.h
+++ b/src/front/http_front.h
@@ -50,6 +50,15 @@
   void StandAside();
   void ThinOut();
   void ComeBack();
+  // The door: connections wait in the machine's line meanwhile.
+  void Shut();
+  void Reopen();
+  // Links go over to another process as they become quiet, each with one call of `pass`. Stir() tries those
+  // anew that found no room. nullptr: no more.
+  using Passing = std::function<Io(Stream&, const QuietLink&)>;
+  void PassOn(Passing pass);
+  void Stir();
+  void Take(std::unique_ptr<Stream> stream, QuietLink link);  // one that another process passed on
   void Leave();
   // What has connected before the listener closes is served too.
   void Close();
@@ -80,6 +89,8 @@
   // Descriptors run short, or clients do: they may hold a third of them, and some keep for good what they
   // asked on once, which shuts the others out.
   bool tight() const { return parts_.budget.tight() || crowded(); }
+  bool passes() const { return static_cast<bool>(pass_); }
+  Io Pass(Stream& stream, const QuietLink& as) { return pass_(stream, as); }
   void Busy(ClientLink& link);
   void Free(ClientLink& link);
   void Retire(ClientLink& link);
@@ -87,6 +98,8 @@
   Parts parts_;
   State state_ = State::kShut;
   std::unique_ptr<Listener> listener_;
+  bool shut_ = true;
+  Passing pass_;
   int owed_ = 0;  // links with a query at hand
   std::function<void()> nothing_owed_ = [] {};
   Event sweep_;
--- a/src/io/files.h
+++ b/src/io/files.h
@@ -29,6 +29,8 @@
   virtual bool Replace(const std::string& path, std::string_view text, std::string& why) = 0;
   // False where it can't be made; one that is there already is fine.
   virtual bool MakeFolder(const std::string& path) = 0;
+  // Whether it is a folder in which this process may make files; `why` says what is wrong.
+  virtual bool Usable(const std::string& folder, std::string& why) = 0;
   virtual std::vector<std::string> List(const std::string& folder) = 0;  // names, unsorted; none on error
   virtual bool Remove(const std::string& path) = 0;
 };
--- a/src/io/machine.h
+++ b/src/io/machine.h
@@ -27,6 +27,7 @@
   // only written to while it has room. Never nullptr; where it is closed every write is kBroken.
   virtual std::unique_ptr<Writable> StandardError() = 0;
   virtual size_t MostDescriptors() = 0;  // that this process may hold
+  virtual size_t ResidentBytes() = 0;    // of memory that it holds; 0: that can't be told
 
   Micros Now() { return scheduler().Now(); }
 };
--- a/src/io/network.h
+++ b/src/io/network.h
@@ -66,6 +66,25 @@
   kNoRoom,   // this process has no descriptor, port or memory left: the other side is not at fault
 };
 
+// A way between two processes of one machine, over which whole messages go, and connections with them.
+class Channel : public Signal {
+ public:
+  using Signal::Signal;
+  virtual ~Channel() = default;
+  // kSome: it went. A connection that goes along is then the other side's, and `along` is closed here without
+  // a sign to its peer. kLater: it did not, there is no room now.
+  virtual Io Send(std::string_view message, Stream* along = nullptr) = 0;
+  // The next message, and the connection that came with it, if one did.
+  virtual Io Receive(std::string& message, std::unique_ptr<Stream>& along) = 0;
+};
+
+class ChannelListener : public Signal {
+ public:
+  using Signal::Signal;
+  virtual ~ChannelListener() = default;
+  virtual std::unique_ptr<Channel> Accept() = 0;  // nullptr: nobody waits, or nobody may
+};
+
 class Network {
  public:
   virtual ~Network() = default;
@@ -73,6 +92,13 @@
   virtual std::unique_ptr<Stream> Connect(const Address& to, NoConnection& why) = 0;
   // Throws std::system_error where the address can't be had. Port 0: any that is free.
   virtual std::unique_ptr<Listener> Listen(const Address& at) = 0;
+  // One that this process was given, and does not own: to leave it takes nothing from whoever holds it too.
+  // Throws std::system_error where the descriptor is not open or does not listen.
+  virtual std::unique_ptr<Listener> Adopt(int descriptor) = 0;
+  // To the process that listens at this path; nullptr where none does.
+  virtual std::unique_ptr<Channel> Meet(const std::string& path) = 0;
+  // In the place of whatever stands at the path. Nullptr where that can't be; `why` then says so.
+  virtual std::unique_ptr<ChannelListener> Await(const std::string& path, std::string& why) = 0;
   // One datagram for each Write(); nullptr where there can be none.
   virtual std::unique_ptr<Writable> Datagrams(const Address& to) = 0;
 };
--- /dev/null
+++ b/src/io/real_channel.cpp
@@ -0,0 +1,159 @@
+#include "io/real_channel.h"
+
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <sys/un.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <optional>
+#include <utility>
+
+#include "io/real_network.h"
+
+namespace burlfall {
+namespace {
+
+constexpr int kWaiting = 8;  // in the line to be accepted
+constexpr size_t kLongestMessage = 64 * 1024;
+
+Descriptor Packets() { return Descriptor(socket(AF_UNIX, SOCK_SEQPACKET | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)); }
+
+// A path that is too long for the system goes by way of its folder's descriptor, which must stay open
+// meanwhile.
+std::optional<sockaddr_un> At(const std::string& path, Descriptor& folder) {
+  sockaddr_un at{};
+  at.sun_family = AF_UNIX;
+  std::string text = path;
+  if (text.size() >= sizeof at.sun_path) {
+    const size_t slash = text.rfind('/');
+    if (slash == std::string::npos) return {};
+    folder = Descriptor(open(text.substr(0, slash).c_str(), O_PATH | O_DIRECTORY | O_CLOEXEC));
+    if (!folder) return {};
+    text = "/proc/self/fd/" + std::to_string(folder.get()) + text.substr(slash);
+    if (text.size() >= sizeof at.sun_path) return {};
+  }
+  std::memcpy(at.sun_path, text.c_str(), text.size() + 1);
+  return at;
+}
+
+class RealChannel final : public Channel {
+ public:
+  RealChannel(RealScheduler& scheduler, Descriptor fd) : Channel(scheduler), fd_(std::move(fd)) {
+    scheduler.Watch(fd_.get(), *this);
+  }
+
+  Io Send(std::string_view message, Stream* along) override {
+    iovec part{const_cast<char*>(message.data()), message.size()};
+    msghdr header{};
+    header.msg_iov = &part;
+    header.msg_iovlen = 1;
+    alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(int))> space{};
+    if (along != nullptr) {
+      header.msg_control = space.data();
+      header.msg_controllen = space.size();
+      cmsghdr* rights = CMSG_FIRSTHDR(&header);
+      rights->cmsg_level = SOL_SOCKET;
+      rights->cmsg_type = SCM_RIGHTS;
+      rights->cmsg_len = CMSG_LEN(sizeof(int));
+      const int fd = DescriptorOf(*along);
+      std::memcpy(CMSG_DATA(rights), &fd, sizeof fd);
+    }
+    ssize_t n = -1;
+    do {
+      n = sendmsg(fd_.get(), &header, MSG_NOSIGNAL);
+    } while (n < 0 && errno == EINTR);
+    if (n < 0) {
+      // Too many descriptors on their way: the other side has not taken the earlier ones yet.
+      const bool later = errno == EAGAIN || errno == EWOULDBLOCK || errno == ETOOMANYREFS || errno == ENOBUFS;
+      return later ? Io::kLater : Io::kBroken;
+    }
+    if (along != nullptr) {
+      // It lives on in the other process, and so would the notices.
+      static_cast<RealScheduler&>(scheduler()).Unwatch(DescriptorOf(*along));
+      along->Close();
+    }
+    return Io::kSome;
+  }
+
+  Io Receive(std::string& message, std::unique_ptr<Stream>& along) override {
+    message.resize(kLongestMessage);
+    iovec part{message.data(), message.size()};
+    msghdr header{};
+    header.msg_iov = &part;
+    header.msg_iovlen = 1;
+    alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(int))> space{};
+    header.msg_control = space.data();
+    header.msg_controllen = space.size();
+    ssize_t n = -1;
+    do {
+      n = recvmsg(fd_.get(), &header, MSG_CMSG_CLOEXEC);
+    } while (n < 0 && errno == EINTR);
+    message.resize(n > 0 ? static_cast<size_t>(n) : 0);
+    if (n == 0) return Io::kClosed;  // no message is empty
+    if (n < 0) return errno == EAGAIN || errno == EWOULDBLOCK ? Io::kLater : Io::kBroken;
+    for (cmsghdr* c = CMSG_FIRSTHDR(&header); c != nullptr; c = CMSG_NXTHDR(&header, c)) {
+      if (c->cmsg_level != SOL_SOCKET || c->cmsg_type != SCM_RIGHTS) continue;
+      int fd = -1;
+      std::memcpy(&fd, CMSG_DATA(c), sizeof fd);
+      along = StreamOver(static_cast<RealScheduler&>(scheduler()), Descriptor(fd));
+    }
+    return (header.msg_flags & MSG_TRUNC) != 0 ? Io::kBroken : Io::kSome;
+  }
+
+ private:
+  Descriptor fd_;
+};
+
+class RealChannelListener final : public ChannelListener {
+ public:
+  RealChannelListener(RealScheduler& scheduler, Descriptor fd)
+      : ChannelListener(scheduler), fd_(std::move(fd)) {
+    scheduler.Watch(fd_.get(), *this);
+  }
+  std::unique_ptr<Channel> Accept() override {
+    while (true) {
+      Descriptor fd(accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+      if (!fd && (errno == EINTR || errno == ECONNABORTED)) continue;
+      if (!fd) return nullptr;
+      // Nobody but this user's own processes is let in, whoever may reach the folder.
+      ucred who{};
+      socklen_t length = sizeof who;
+      if (getsockopt(fd.get(), SOL_SOCKET, SO_PEERCRED, &who, &length) != 0 || who.uid != geteuid()) continue;
+      return std::make_unique<RealChannel>(static_cast<RealScheduler&>(scheduler()), std::move(fd));
+    }
+  }
+
+ private:
+  Descriptor fd_;
+};
+
+}  // namespace
+
+std::unique_ptr<Channel> MeetChannel(RealScheduler& scheduler, const std::string& path) {
+  Descriptor folder;
+  const std::optional<sockaddr_un> at = At(path, folder);
+  Descriptor fd = Packets();
+  // A Unix socket connects at once or not at all; EAGAIN is a line that is full.
+  if (!at || !fd || connect(fd.get(), reinterpret_cast<const sockaddr*>(&*at), sizeof *at) != 0)
+    return nullptr;
+  return std::make_unique<RealChannel>(scheduler, std::move(fd));
+}
+
+std::unique_ptr<ChannelListener> AwaitChannel(RealScheduler& scheduler, const std::string& path,
+                                              std::string& why) {
+  Descriptor folder;
+  const std::optional<sockaddr_un> at = At(path, folder);
+  Descriptor fd = Packets();
+  if (at) unlink(at->sun_path);  // of a process that is gone, or hands over to this one
+  if (!at || !fd || bind(fd.get(), reinterpret_cast<const sockaddr*>(&*at), sizeof *at) != 0 ||
+      listen(fd.get(), kWaiting) != 0) {
+    why = at ? std::strerror(errno) : "the path is too long, or its folder can't be used";
+    return nullptr;
+  }
+  return std::make_unique<RealChannelListener>(scheduler, std::move(fd));
+}
+
+}  // namespace burlfall
--- a/src/io/real_files.cpp
+++ b/src/io/real_files.cpp
@@ -119,6 +119,14 @@
     return !error;
   }
 
+  bool Usable(const std::string& folder, std::string& why) override {
+    std::error_code error;
+    const bool usable = std::filesystem::is_directory(folder, error);
+    if (usable && access(folder.c_str(), W_OK | X_OK) == 0) return true;
+    why = usable ? std::strerror(errno) : error ? error.message() : "not a folder";
+    return false;
+  }
+
   std::vector<std::string> List(const std::string& folder) override {
     std::vector<std::string> names;
     std::error_code error;
--- a/src/io/real_machine.cpp
+++ b/src/io/real_machine.cpp
@@ -12,6 +12,8 @@
 #include <array>
 #include <cerrno>
 #include <chrono>
+#include <cstdlib>
+#include <string>
 #include <system_error>
 
 #include "io/real_files.h"
@@ -53,6 +55,8 @@
   }
 }
 
+void RealScheduler::Unwatch(int fd) { epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, fd, nullptr); }
+
 void RealScheduler::Poll(Micros until) {
   int wait = -1;
   if (until <= 0) {
@@ -102,6 +106,13 @@
   return getrlimit(RLIMIT_NOFILE, &limit) == 0 ? static_cast<size_t>(limit.rlim_cur) : 1024;
 }
 
+size_t RealMachine::ResidentBytes() {
+  const std::string text = files_->Read("/proc/self/statm").value_or("");
+  const size_t blank = text.find(' ');  // the second number, in pages: proc(5)
+  if (blank == std::string::npos) return 0;
+  return std::strtoull(text.c_str() + blank, nullptr, 10) * static_cast<size_t>(sysconf(_SC_PAGESIZE));
+}
+
 ProcessSignals::ProcessSignals(RealScheduler& scheduler, std::initializer_list<int> signals)
     : Signal(scheduler) {
   sigset_t set;
--- a/src/io/real_machine.h
+++ b/src/io/real_machine.h
@@ -31,6 +31,8 @@
   Micros Now() const override;
   // Notifies the signal at each edge of the descriptor, until that is closed. Throws std::system_error.
   void Watch(int fd, Signal& signal);
+  // No more notices of it. Closing does as much, unless another process holds the same thing.
+  void Unwatch(int fd);
 
  private:
   void Poll(Micros until) override;
@@ -53,6 +55,7 @@
   uint64_t Entropy() override;
   std::unique_ptr<Writable> StandardError() override;
   size_t MostDescriptors() override;
+  size_t ResidentBytes() override;
 
  private:
   // Looked at first: where it is closed, its number is the next descriptor's.
--- a/src/io/real_network.cpp
+++ b/src/io/real_network.cpp
@@ -1,5 +1,6 @@
 #include "io/real_network.h"
 
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -11,6 +12,7 @@
 #include <system_error>
 #include <utility>
 
+#include "io/real_channel.h"
 #include "io/real_machine.h"
 
 namespace burlfall {
@@ -79,6 +81,7 @@
   }
 
   void Close() override { fd_ = Descriptor(); }
+  int fd() const { return fd_.get(); }
 
   Address Peer() const override { return Ask(getpeername); }
   Address Local() const override { return Ask(getsockname); }
@@ -111,6 +114,11 @@
     }
     scheduler.Watch(fd_.get(), *this);
   }
+  RealListener(RealScheduler& scheduler, Descriptor given) : Listener(scheduler), fd_(std::move(given)) {
+    scheduler.Watch(fd_.get(), *this);
+  }
+  // Whoever holds it too keeps it open, and with it the notices, whose signal is gone.
+  ~RealListener() override { static_cast<RealScheduler&>(scheduler()).Unwatch(fd_.get()); }
 
   Accepted Accept(std::unique_ptr<Stream>& into) override {
     while (true) {
@@ -182,6 +190,26 @@
     return std::make_unique<RealListener>(scheduler_, at);
   }
 
+  std::unique_ptr<Listener> Adopt(int descriptor) override {
+    int listens = 0;
+    socklen_t length = sizeof listens;
+    if (getsockopt(descriptor, SOL_SOCKET, SO_ACCEPTCONN, &listens, &length) != 0 || listens == 0) {
+      const int error = listens == 0 && errno == 0 ? EINVAL : errno;
+      throw std::system_error(error, std::generic_category(),
+                              "descriptor " + std::to_string(descriptor) + " is no listening socket");
+    }
+    Descriptor own(fcntl(descriptor, F_DUPFD_CLOEXEC, 3));
+    if (!own || fcntl(own.get(), F_SETFL, fcntl(own.get(), F_GETFL) | O_NONBLOCK) != 0) {
+      throw std::system_error(errno, std::generic_category(), "descriptor " + std::to_string(descriptor));
+    }
+    return std::make_unique<RealListener>(scheduler_, std::move(own));
+  }
+
+  std::unique_ptr<Channel> Meet(const std::string& path) override { return MeetChannel(scheduler_, path); }
+  std::unique_ptr<ChannelListener> Await(const std::string& path, std::string& why) override {
+    return AwaitChannel(scheduler_, path, why);
+  }
+
   std::unique_ptr<Writable> Datagrams(const Address& to) override {
     Descriptor fd(socket(to.storage.ss_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     // Connected, so that word of a collector that is gone comes back as an error of a later send.
@@ -199,6 +227,8 @@
   return std::make_unique<RealNetwork>(scheduler);
 }
 
+int DescriptorOf(const Stream& stream) { return static_cast<const RealStream&>(stream).fd(); }
+
 std::unique_ptr<Stream> StreamOver(RealScheduler& scheduler, Descriptor fd) {
   return std::make_unique<RealStream>(scheduler, std::move(fd));
 }
--- a/src/io/real_network.h
+++ b/src/io/real_network.h
@@ -11,6 +11,7 @@
 class RealScheduler;
 
 std::unique_ptr<Network> MakeRealNetwork(RealScheduler& scheduler);
+int DescriptorOf(const Stream& stream);  // of the system's; it stays the stream's
 
 }  // namespace burlfall
 
--- a/src/membership/host_group.cpp
+++ b/src/membership/host_group.cpp
@@ -1,6 +1,7 @@
 #include "membership/host_group.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace burlfall {
@@ -85,8 +86,9 @@
 }
 
 // The one place that weighs the operator's word against the list's.
-void HostGroup::Settle(Host& host) {
-  host.state = host.out && host.listed == BackendState::kReady ? BackendState::kDraining : host.listed;
+void HostGroup::Settle(Host& host) const {
+  const bool not_ours = host.out || Told(host).started_at > cold_since_;
+  host.state = not_ours && host.listed == BackendState::kReady ? BackendState::kDraining : host.listed;
 }
 
 // Started anew while it was out, at the latest when it was put back. Guards the rule on cold servers where
@@ -138,6 +140,70 @@
   return out;
 }
 
+std::vector<HostRecord> HostGroup::Records() const {
+  std::vector<HostRecord> records;
+  for (const auto& [id, host] : hosts_) {
+    HostRecord r;
+    r.id = id;
+    r.name = host->name;
+    r.address = host->address.text;
+    r.listed = host->listed;
+    r.out = host->out;
+    r.out_at = host->out_at;
+    r.back_at = host->back_at;
+    r.zone = host->entry.zone;
+    r.cell = host->entry.cell;
+    r.kind = host->entry.kind;
+    r.started_at = host->entry.started_at;
+    r.size = host->entry.size;
+    records.push_back(std::move(r));
+  }
+  return records;
+}
+
+bool HostGroup::TakeOver(const std::vector<HostRecord>& records, uint64_t version) {
+  HostGroup fresh(settings_);
+  for (const HostRecord& r : records) {
+    const std::optional<Address> address = r.address.empty() ? Address() : ReadAddress(r.address);
+    const bool known = r.listed == BackendState::kGone || r.listed == BackendState::kReady ||
+                       r.listed == BackendState::kDraining;
+    if (!address || !known || r.name.empty() || fresh.hosts_.contains(r.id) || fresh.Names(r.name)) {
+      return false;
+    }
+    auto host = std::make_unique<Host>();
+    host->id = host->entry.id = r.id;
+    host->name = r.name;
+    host->address = *address;
+    host->listed = r.listed;
+    host->out = r.out;
+    host->out_at = r.out_at;
+    host->back_at = r.back_at;
+    host->entry.zone = r.zone;
+    host->entry.cell = r.cell;
+    host->entry.kind = r.kind;
+    host->started_at = host->entry.started_at = r.started_at;
+    host->entry.size = r.size;
+    Settle(*host);
+    host->state_counted = host->state;
+    fresh.by_name_[r.name] = host.get();
+    fresh.hosts_.emplace(r.id, std::move(host));
+  }
+  hosts_ = std::move(fresh.hosts_);
+  by_name_ = std::move(fresh.by_name_);
+  version_ = version;
+  return true;
+}
+
+void HostGroup::LeaveCold(bool leave, Micros now) {
+  cold_since_ = leave ? now - settings_.warm_after : kNever;
+  const bool others = std::any_of(hosts_.begin(), hosts_.end(), [this](const auto& one) {
+    const Host& host = *one.second;
+    return host.listed == BackendState::kReady && !host.out && Told(host).started_at <= cold_since_;
+  });
+  if (!others) cold_since_ = kNever;
+  for (auto& [id, host] : hosts_) Settle(*host);
+}
+
 BackendList HostGroup::AsItStands() const {
   BackendList told;
   told.kind = ListKind::kCached;  // the module must not take it for word from discovery
--- a/src/membership/host_group.h
+++ b/src/membership/host_group.h
@@ -36,6 +36,24 @@
   uint64_t era_counted = 0;
 };
 
+// A host as one process tells the next of it. What it was called by, the names tell.
+struct HostRecord {
+  meadowslip::BackendId id = 0;
+  std::string name;
+  std::string address;
+  meadowslip::BackendState listed = meadowslip::BackendState::kGone;
+  bool out = false;
+  Micros out_at = 0;
+  Micros back_at = 0;
+  int zone = 0, cell = 0, kind = 0;
+  Micros started_at = 0;
+  double size = 1;
+
+  void Fields(auto& a) {
+    a(id, name, address, listed, out, out_at, back_at, zone, cell, kind, started_at, size);
+  }
+};
+
 // How many hosts changed, each counted by what it is now.
 struct HostChanges {
   size_t added = 0;  // ready, and were not
@@ -63,6 +81,13 @@
   void TakeOutUnseen(const std::string& name, Micros since);
   bool Names(std::string_view name) const { return by_name_.contains(std::string(name)); }
   std::vector<OutHost> Out() const;  // by name
+  // All that is known of all hosts, for the process that takes over; and that, taken over, instead of a list:
+  // false where it can't be, and nothing has changed. To be called before all else.
+  std::vector<HostRecord> Records() const;
+  bool TakeOver(const std::vector<HostRecord>& records, uint64_t version);
+  // Those that are cold now, or start from here on, are another process's to send to, as long as there are
+  // others: to this one they are draining.
+  void LeaveCold(bool leave, Micros now);
   // The group as it stands, for the module; no list says it.
   meadowslip::BackendList AsItStands() const;
   // Hosts are never forgotten: a reference holds as long as the group.
@@ -78,7 +103,7 @@
  private:
   Host& Named(const std::string& name);
   Host* FindNamed(std::string_view name);
-  static void Settle(Host& host);
+  void Settle(Host& host) const;
   static meadowslip::BackendEntry Told(const Host& host);
   void Count(Host& host);
 
@@ -86,6 +111,7 @@
   std::unordered_map<meadowslip::BackendId, std::unique_ptr<Host>> hosts_;
   std::unordered_map<std::string, Host*> by_name_;
   uint64_t version_ = 0;
+  Micros cold_since_ = kNever;  // hosts that were started after it are another process's
   HostChanges changes_;
 };
 
--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -1,6 +1,7 @@
 #include "serve/program.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 namespace burlfall {
@@ -16,18 +17,31 @@
 constexpr Micros kAsideThinAfter = 600 * kMs;
 constexpr Micros kAsideStep = 50 * kMs;
 
+constexpr Micros kPassStep = 10 * kMs;        // between two looks at links that found no room to go over
+constexpr Micros kTellUseEvery = 100 * kMs;   // of descriptors and memory, to the heir
+constexpr Micros kClocksApart = 1 * kSecond;  // of two processes; beyond it times say nothing
+
 // Connections that operators may hold at a time: of few descriptors few.
 constexpr size_t kLeastCalls = 8, kMostCalls = 32, kCallsPart = 16;
 
 size_t Calls(size_t descriptors) { return std::clamp(descriptors / kCallsPart, kLeastCalls, kMostCalls); }
 
 // Several balancers may share the folder, by different names.
-std::string OutPath(const Config& config) {
-  if (config.folder.empty() || config.admin.length == 0) return "";
+std::string PathFor(const Config& config, const char* what) {
   std::string name = config.name;
   std::replace_if(
       name.begin(), name.end(), [](char c) { return c == '/' || (c >= 0 && c <= ' '); }, '_');
-  return config.folder + "/burlfall-" + name + ".out";
+  return config.folder + "/burlfall-" + name + what;
+}
+
+// Of the nodes that are out; empty: nowhere.
+std::string OutPath(const Config& config) {
+  return config.folder.empty() || config.admin.length == 0 ? "" : PathFor(config, ".out");
+}
+
+// As it was named, with the port that it got.
+std::string Shown(const Address& at, uint16_t port) {
+  return at.text.substr(0, at.text.rfind(':') + 1) + std::to_string(port);
 }
 
 }  // namespace
@@ -49,7 +63,11 @@
       front_({machine, config_, dispatcher_, budget_, tokens_, door_, figures_.get(), counters_}),
       moved_(machine.scheduler()),
       sweep_(machine.scheduler()) {
-  if (config_.admin.length > 0) control_.emplace(machine_, config_.admin, Calls(descriptors()), static_cast<Operations&>(*this));
+  if (config_.admin.length > 0)
+    control_.emplace(machine_, config_.admin, Calls(descriptors()), static_cast<Operations&>(*this));
+  if (config_.passed >= 0 && !config_.folder.empty()) {
+    handover_.emplace(machine_, PathFor(config_, ".sock"), config_.name, static_cast<Heritage&>(*this), log_);
+  }
   Allow();
   budget_.Add(front_);
   budget_.Add(upstream_);
@@ -67,17 +85,31 @@
   return std::min(static_cast<size_t>(config_.sockets), machine_.MostDescriptors());
 }
 
-void Program::Allow() { budget_.Allow(descriptors(), control_ ? Calls(descriptors()) + 1 : 0); }
+void Program::Allow() {
+  budget_.Allow(descriptors(), other_.descriptors + (control_ ? Calls(descriptors()) + 1 : 0));
+}
+
+// ---- The start -------------------------------------------------------------------------------------------
 
 void Program::Start() {
   if (figures_) figures_->Start();
+  if (control_) {
+    control_->Open();
+    log_.Tell<"admin_serving">(Shown(config_.admin, control_->port()));
+  }
+  begin_ = Begin();
+  begin_.Start();
+}
+
+Task<> Program::Begin() {
+  std::optional<Estate> estate;
+  if (handover_) estate = co_await handover_->Claim();
+  if (!estate || !TakeOver(*estate)) BeginAlone();
   if (capture_) capture_->Start();
   discovery_.Start();
-  meadowslip::BackendList known = hosts_.Take(config_.known);
-  list_log_.emplace(machine_.scheduler(), hosts_, log_);
-  known.kind = meadowslip::ListKind::kCached;
-  dispatcher_.OnList(known);
-  ReadOut();
+  dispatcher_.OnList(hosts_.AsItStands());
+  // A module that was taken over may believe that discovery is followed.
+  if (estate) discovery_.Follow();
   phase_ = Phase::kServing;
   dispatcher_.Start();
   sweeper_ = Sweep();
@@ -85,7 +117,40 @@
   phases_ = Phases();
   phases_.Start();
   front_.Open();
-  if (control_) control_->Open();
+  if (estate && estate->aside) {
+    SetAside(true);
+    aside_since_ = estate->aside_since;
+  }
+  if (handover_) handover_->Serve();
+  log_.Tell<"serving">(config_.name, Shown(config_.listen, front_.port()));
+  if (end_asked_) Drain();
+}
+
+// From the list that the configuration came with.
+void Program::BeginAlone() {
+  hosts_.Take(config_.known);
+  list_log_.emplace(machine_.scheduler(), hosts_, log_);
+  ReadOut();
+}
+
+// Where another left off. False where nothing of it can be used.
+bool Program::TakeOver(const Estate& estate) {
+  if (!hosts_.TakeOver(estate.hosts, estate.list)) {
+    log_.Tell<"handover_refused">("nodes that can't be");
+    return false;
+  }
+  list_log_.emplace(machine_.scheduler(), hosts_, log_);
+  log_.Tell<"taken_over">(estate.hosts.size(), hosts_.Out().size(), estate.carried.queries.size());
+  std::string why;
+  if (estate.settings != config_.settings_json) {
+    why = "other settings";
+  } else if (std::abs(machine_.Now() - estate.carried.now) > kClocksApart) {
+    why = "a clock that differs";
+  } else if (!dispatcher_.TakeOver(estate.carried)) {
+    why = "a state of another format";
+  }
+  if (!why.empty()) log_.Tell<"state_refused">(why);
+  return true;
 }
 
 // ---- What operators tell it ------------------------------------------------------------------------------
@@ -104,7 +169,6 @@
   if (out->empty()) return;
   for (const OutHost& host : *out) hosts_.TakeOutUnseen(host.name, host.since);
   log_.Tell<"nodes_kept_out">(out->size());
-  HostsChanged();
 }
 
 // Nothing to keep it in is no failure: it then holds as long as this process.
@@ -122,6 +186,7 @@
 }
 
 Verdict Program::TakeOut(std::string_view server) {
+  if (phase_ == Phase::kStarting) return Verdict::kNotNow;
   std::vector<OutHost> out = hosts_.Out();
   if (std::any_of(out.begin(), out.end(), [&](const OutHost& h) { return h.name == server; })) {
     return Verdict::kDone;  // one ban, since the first call
@@ -132,42 +197,148 @@
   if (!KeepOut(out)) return Verdict::kFailed;
   hosts_.TakeOut(server, now);
   HostsChanged();
+  if (handover_) handover_->TellOut({std::string(server), now});
   log_.Tell<"node_out">(server, out.size());
   return Verdict::kDone;
 }
 
 Verdict Program::PutBack(std::string_view server) {
+  if (phase_ == Phase::kStarting) return Verdict::kNotNow;
   if (!hosts_.Names(server)) return Verdict::kUnknown;
   std::vector<OutHost> out = hosts_.Out();
   if (std::erase_if(out, [&](const OutHost& h) { return h.name == server; }) == 0) return Verdict::kDone;
   KeepOut(out);  // a full disk must not keep a sound node out
-  hosts_.PutBack(server, machine_.Now());
+  const Micros now = machine_.Now();
+  hosts_.PutBack(server, now);
   HostsChanged();
+  if (handover_) handover_->TellBack({std::string(server), now});
   log_.Tell<"node_back">(server, out.size());
   return Verdict::kDone;
 }
 
 Verdict Program::StandAside() {
-  if (phase_ == Phase::kServing) {
-    phase_ = Phase::kAside;
-    aside_since_ = machine_.Now();
-    log_.Tell<"drained">(front_.open());
-    front_.StandAside();
-    moved_.Notify();
-  }
+  if (phase_ == Phase::kStarting) return Verdict::kNotNow;
+  SetAside(true);
+  if (phase_ == Phase::kHandedOver) handover_->TellDrain(true);
   return Verdict::kDone;  // one that ends drains too
 }
 
 Verdict Program::ComeBack() {
-  if (phase_ == Phase::kAside) {
-    phase_ = Phase::kServing;
+  SetAside(false);
+  if (phase_ == Phase::kHandedOver) handover_->TellDrain(false);
+  return phase_ == Phase::kServing || phase_ == Phase::kHandedOver ? Verdict::kDone : Verdict::kNotNow;
+}
+
+void Program::SetAside(bool aside) {
+  if (phase_ != (aside ? Phase::kServing : Phase::kAside)) return;
+  phase_ = aside ? Phase::kAside : Phase::kServing;
+  if (aside) {
+    aside_since_ = machine_.Now();
+    log_.Tell<"drained">(front_.open());
+    front_.StandAside();
+  } else {
     log_.Tell<"back_to_work">((machine_.Now() - aside_since_) / kMs);
     front_.ComeBack();
-    moved_.Notify();
   }
-  return phase_ == Phase::kServing ? Verdict::kDone : Verdict::kNotNow;
+  moved_.Notify();
+}
+
+// ---- The hand-over ---------------------------------------------------------------------------------------
+
+std::optional<Estate> Program::GiveUpDoor(std::string& why) {
+  std::optional<Estate> estate;
+  if (!Serving() && phase_ != Phase::kDraining) {
+    why = "a claim to a process that does not serve";
+    return estate;
+  }
+  front_.Shut();
+  estate.emplace();
+  estate->settings = config_.settings_json;
+  estate->aside = phase_ == Phase::kAside;
+  estate->aside_since = aside_since_;
+  estate->list = hosts_.version();
+  estate->hosts = hosts_.Records();
+  estate->carried = dispatcher_.Carry();
+  return estate;
+}
+
+void Program::KeepDoor() {
+  if (!Serving() && phase_ != Phase::kDraining) return;
+  log_.Tell<"door_kept">();
+  front_.Reopen();
+}
+
+void Program::HandOn() {
+  before_hand_on_ = phase_;
+  phase_ = Phase::kHandedOver;
+  log_.Tell<"handed_over">(front_.open(), dispatcher_.open());
+  front_.Shut();
+  hosts_.LeaveCold(true, machine_.Now());
+  HostsChanged();
+  upstream_.RetireAll();
+  TellUse();
+  front_.PassOn([this](Stream& stream, const QuietLink& link) {
+    return handover_->Pass(stream, {link.asked, link.began, link.read});
+  });
+  moved_.Notify();
+}
+
+void Program::TakeBack() {
+  if (phase_ != Phase::kHandedOver) return;
+  log_.Tell<"taken_back">();
+  phase_ = before_hand_on_;
+  front_.PassOn(nullptr);
+  front_.Reopen();
+  hosts_.LeaveCold(false, machine_.Now());
+  HostsChanged();
+  moved_.Notify();
+}
+
+void Program::LastOwner() {
+  if (phase_ != Phase::kHandedOver) return;
+  phase_ = Phase::kClosing;
+  front_.PassOn(nullptr);
+  moved_.Notify();
+}
+
+void Program::TakeLink(std::unique_ptr<Stream> stream, PassedLink link) {
+  front_.Take(std::move(stream), {link.asked, link.began, std::move(link.read)});
+}
+
+void Program::OtherUses(const Use& use) {
+  const bool first = other_.descriptors == 0 && use.descriptors > 0;
+  other_ = use;
+  Allow();
+  if (!first) return;
+  log_.Tell<"two_processes">(use.descriptors, use.memory_kb, budget_.open() + LinkBudget::kSpare,
+                             machine_.ResidentBytes() / 1024, descriptors());
 }
 
+void Program::TellUse() {
+  handover_->TellUse({budget_.open() + LinkBudget::kSpare, machine_.ResidentBytes() / 1024});
+}
+
+// Said on: a third process may be about. It ends where it is known.
+void Program::OtherTookOut(const NodeCall& call) {
+  const std::vector<OutHost> out = hosts_.Out();
+  if (std::any_of(out.begin(), out.end(), [&](const OutHost& h) { return h.name == call.name; })) return;
+  if (!hosts_.TakeOut(call.name, call.since)) return;
+  HostsChanged();
+  handover_->TellOut(call);
+  log_.Tell<"node_out">(call.name, out.size() + 1);
+}
+
+void Program::OtherPutBack(const NodeCall& call) {
+  const std::vector<OutHost> out = hosts_.Out();
+  if (std::none_of(out.begin(), out.end(), [&](const OutHost& h) { return h.name == call.name; })) return;
+  hosts_.PutBack(call.name, call.since);
+  HostsChanged();
+  handover_->TellBack(call);
+  log_.Tell<"node_back">(call.name, out.size() - 1);
+}
+
+void Program::OtherDrains(bool drains) { SetAside(drains); }
+
 // ---- The rest --------------------------------------------------------------------------------------------
 
 void Program::Take(const HostList* list, const std::string& why) {
@@ -184,6 +355,7 @@
 }
 
 void Program::Drain() {
+  end_asked_ = true;
   if (!Serving()) return;
   phase_ = Phase::kDraining;
   log_.Tell<"draining">(front_.open());
@@ -216,21 +388,58 @@
   if (figures_) figures_->Finish(kFinishFor);
 }
 
-// A drain by hand, which may end; and from the word to end on.
+// A hand-over may be taken back, and a drain by hand; the end may not.
 Task<> Program::Phases() {
-  while (phase_ != Phase::kDraining) {
-    if (phase_ == Phase::kAside && machine_.Now() >= aside_since_ + kAsideThinAfter) front_.ThinOut();
-    co_await moved_.Wait(phase_ == Phase::kAside ? machine_.Now() + kAsideStep : kNever);
+  while (phase_ != Phase::kClosing) {
+    switch (phase_) {
+      case Phase::kAside:
+        if (machine_.Now() >= aside_since_ + kAsideThinAfter) front_.ThinOut();
+        co_await moved_.Wait(machine_.Now() + kAsideStep);
+        break;
+      case Phase::kDraining:
+        co_await Drained();
+        break;
+      case Phase::kHandedOver:
+        co_await HandedOver();
+        break;
+      default:
+        co_await moved_.Wait();
+    }
   }
-  const Micros drained_at = machine_.Now() + kDrainFor;
-  while (machine_.Now() < drained_at) co_await moved_.Wait(drained_at);
-  phase_ = Phase::kClosing;
+  if (handover_) handover_->End();
+  co_await Closing();
+  phase_ = Phase::kStopped;
+  machine_.scheduler().Stop();
+}
+
+Task<> Program::Drained() {
+  const Micros until = machine_.Now() + kDrainFor;
+  while (phase_ == Phase::kDraining && machine_.Now() < until) co_await moved_.Wait(until);
+  if (phase_ == Phase::kDraining) phase_ = Phase::kClosing;
+}
+
+// Until all client links are the other's, or have ended.
+Task<> Program::HandedOver() {
+  Micros tell_at = 0;
+  while (phase_ == Phase::kHandedOver) {
+    if (front_.open() == 0) {
+      phase_ = Phase::kClosing;
+      break;
+    }
+    front_.Stir();
+    if (machine_.Now() >= tell_at) {
+      TellUse();
+      tell_at = machine_.Now() + kTellUseEvery;
+    }
+    co_await moved_.Wait(machine_.Now() + kPassStep);
+  }
+}
+
+Task<> Program::Closing() {
   log_.Tell<"closing">(front_.open());
   front_.Close();
   const Micros hurry_at = machine_.Now() + kCloseFor;
   while (!front_.Closed(machine_.Now() >= hurry_at)) co_await moved_.Wait(machine_.Now() + kCloseStep);
-  phase_ = Phase::kStopped;
-  machine_.scheduler().Stop();
 }
 
 Task<> Program::Sweep() {
--- a/src/serve/program.h
+++ b/src/serve/program.h
@@ -16,6 +16,7 @@
 #include "front/http_front.h"
 #include "gates/door.h"
 #include "gates/tokens.h"
+#include "handover/handover.h"
 #include "io/machine.h"
 #include "links/budget.h"
 #include "membership/discovery.h"
@@ -35,10 +36,11 @@
   kDraining,  // told to end: still accepts and answers, and asks clients to go elsewhere
   kClosing,   // accepts nothing more, answers what it owes
   kStopped,
-  kAside,  // drained by hand: as draining, but it follows discovery and its operators, and may serve again
+  kAside,       // drained by hand: as draining, but it may serve again
+  kHandedOver,  // another process has the door: passes its links on, answers what it owes, and ends
 };
 
-class Program final : private Operations {
+class Program final : private Operations, private Heritage {
  public:
   // Binds the addresses; throws std::system_error where that can't be done. `log` and `counters` must outlive
   // it.
@@ -66,6 +68,26 @@
   Verdict StandAside() override;
   Verdict ComeBack() override;
 
+  // What the other process of a hand-over tells it.
+  std::optional<Estate> GiveUpDoor(std::string& why) override;
+  void KeepDoor() override;
+  void HandOn() override;
+  void TakeBack() override;
+  void LastOwner() override;
+  void TakeLink(std::unique_ptr<Stream> stream, PassedLink link) override;
+  void OtherUses(const Use& use) override;
+  void OtherTookOut(const NodeCall& call) override;
+  void OtherPutBack(const NodeCall& call) override;
+  void OtherDrains(bool drains) override;
+
+  Task<> Begin();
+  void BeginAlone();
+  bool TakeOver(const Estate& estate);
+  void SetAside(bool aside);
+  void TellUse();
+  Task<> Drained();
+  Task<> HandedOver();
+  Task<> Closing();
   void ReadOut();
   bool KeepOut(const std::vector<OutHost>& out);
   void HostsChanged();
@@ -91,12 +113,17 @@
   std::unique_ptr<Capture> capture_;
   HttpFront front_;
   std::optional<ControlFront> control_;
+  std::optional<Handover> handover_;
   Phase phase_ = Phase::kStarting;
+  Phase before_hand_on_ = Phase::kServing;
+  bool end_asked_ = false;  // before it served
   Micros aside_since_ = 0;
+  Use other_;  // of a hand-over
   bool descriptors_tight_ = false;
   Event moved_;
   Event sweep_;
-  Task<> phases_;  // the tasks last: what they use must outlive them
+  Task<> begin_;  // the tasks last: what they use must outlive them
+  Task<> phases_;
   Task<> sweeper_;
 };
 
--- a/src/serve/serve.cpp
+++ b/src/serve/serve.cpp
@@ -85,12 +85,6 @@
   hearing.Start();
   program.Start();
   const Micros began = machine.Now();
-  const std::string host = config.listen.text.substr(0, config.listen.text.rfind(':') + 1);
-  if (program.admin_port() != 0) {
-    const std::string admin = config.admin.text.substr(0, config.admin.text.rfind(':') + 1);
-    log.Tell<"admin_serving">(admin + std::to_string(program.admin_port()));
-  }
-  log.Tell<"serving">(config.name, host + std::to_string(program.port()));
   machine.scheduler().Run();
   program.Finish();
   TellCounters(program, log);
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -61,6 +61,10 @@
     Bits(all.size());
     for (T& one : all) Put(one);
   }
+  void Put(std::string& text) {
+    Bits(text.size());
+    out_ += text;
+  }
   // By key: the order in which such a map is walked says nothing, and differs after loading.
   template <typename Key, typename T>
   void Put(std::unordered_map<Key, T>& all) {
@@ -164,6 +168,11 @@
     all.assign(Count(), T());
     for (T& one : all) Get(one);
   }
+  void Get(std::string& text) {
+    const size_t n = Count();
+    text = in_.substr(0, n);
+    in_.remove_prefix(n);
+  }
   template <typename Key, typename T>
   void Get(std::unordered_map<Key, T>& all) {
     all.clear();
--- a/src/upstream/http_upstream.h
+++ b/src/upstream/http_upstream.h
@@ -29,6 +29,7 @@
 
   // Closes what has been idle for long, and all that is idle where its host takes nothing new.
   void Retire();
+  void RetireAll() { idle_.clear(); }  // all that is idle
 
   size_t open() const override { return open_; }
   bool MakeRoom(size_t wanted) override;
--- /dev/null
+++ b/tests/service/upgrade_test.cpp
@@ -0,0 +1,396 @@
+// Stories of an upgrade: two real processes of one balancer, with the clients' listener passed to both.
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <sys/un.h>
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <thread>
+
+#include "handover/estate.h"
+#include "service/operators.h"
+
+namespace burlfall {
+
+namespace {
+
+// What the platform has: a listener that every process inherits, and a folder that all see.
+struct Platform {
+  Peer door;
+  Folder folder;
+  World world() {
+    return {.variables = {{"TMPDIR", folder.path}, {"PROXY_PASSED_SOCKET", "5"}}, .passed = door.fd()};
+  }
+  std::string socket() const { return folder.path + "/burlfall-n1.sock"; }
+};
+
+std::string SiteText(const std::string& known) {
+  return ConfigText({.known = known, .admin = "127.0.0.1:0"});
+}
+
+std::string Numbered(std::string name, int i) { return name.append(std::to_string(i)); }
+
+// Reads lines until one that has `what`, or there are none for kPatience.
+bool Says(Program& program, const std::string& what) {
+  if (program.output.find(what) != std::string::npos) return true;
+  for (std::string line = program.AnyLine(); !line.empty(); line = program.AnyLine()) {
+    program.output += line;
+    if (line.find(what) != std::string::npos) return true;
+  }
+  return false;
+}
+
+Descriptor Meet(const std::string& path) {
+  Descriptor fd(socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0));
+  sockaddr_un at{};
+  at.sun_family = AF_UNIX;
+  path.copy(at.sun_path, sizeof at.sun_path - 1);
+  REQUIRE(connect(fd.get(), reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+  return fd;
+}
+void Say(const Descriptor& fd, const std::string& message) {
+  REQUIRE(send(fd.get(), message.data(), message.size(), MSG_NOSIGNAL) ==
+          static_cast<ssize_t>(message.size()));
+}
+std::string Hear(const Descriptor& fd) {  // empty: it ended
+  if (!Readable(fd.get(), kPatience * 1000)) return "";
+  std::string message(65536, '\0');
+  const ssize_t n = recv(fd.get(), message.data(), message.size(), 0);
+  message.resize(n > 0 ? static_cast<size_t>(n) : 0);
+  return message;
+}
+
+std::string Served(Link& client, Peer& server, const std::string& trace) {
+  client.Write(Get(trace));
+  Link link = server.Accept();
+  link.Read();
+  link.Write(Ok("fine", "Connection: close\r\n"));
+  return client.Read();
+}
+
+}  // namespace
+
+TEST_CASE("an upgrade passes quiet links on, with what was read of them, and answers what is on its way") {
+  Platform platform;
+  Peer server;
+  const std::string config = SiteText(Entry("s-1", server.port));
+  Program old(config, {"serve"}, nullptr, platform.world());
+  Link quiet = Link::To(platform.door.port), half = Link::To(platform.door.port),
+       busy = Link::To(platform.door.port), fresh = Link::To(platform.door.port);
+  CHECK(Served(quiet, server, "t1").ends_with("fine"));
+  const std::string query = Get("t2");
+  half.Write(query.substr(0, 20));
+  busy.Write(Get("t3"));
+  Link at_work = server.Accept();
+  at_work.Read();
+  Program next(config, {"serve"}, nullptr, platform.world());
+  CHECK(Call(next.admin, "GET", "/healthcheck") == 200);
+  CHECK(next.output.find("took over: 1 known nodes, 0 out by hand; 1 queries stay") != std::string::npos);
+  CHECK(Says(old, "handed over"));
+  old.Signal(SIGTERM);
+  half.Write(query.substr(20));
+  Link for_half = server.Accept();
+  for_half.Read();
+  for_half.Write(Ok("half", "Connection: close\r\n"));
+  CHECK(half.Read().ends_with("half"));
+  const std::string answer = Served(quiet, server, "t4");
+  CHECK(answer.ends_with("fine"));
+  CHECK(answer.find("Connection: close") == std::string::npos);
+  CHECK(Served(fresh, server, "t5").ends_with("fine"));
+  at_work.Write(Ok("late", "Connection: close\r\n"));
+  CHECK(busy.Read().ends_with("late"));
+  CHECK(old.Wait() == 0);
+  CHECK(Served(busy, server, "t6").ends_with("fine"));  // that link too is the new one's
+  Link after = Link::To(platform.door.port);
+  CHECK(Served(after, server, "t7").ends_with("fine"));
+  CHECK(next.Wait(SIGTERM) == 0);
+}
+
+TEST_CASE("nodes out by hand, a drain and what operators say later hold for both processes") {
+  Platform platform;
+  Peer one, two;
+  const std::string config = SiteText(Entry("s-1", one.port) + "," + Entry("s-2", two.port));
+  Program old(config, {"serve"}, nullptr, platform.world());
+  Link client = Link::To(platform.door.port);
+  client.Write(Get("t0"));  // keeps the old one there
+  Peer& holder = Peer::Called(one, two);
+  Link at_work = holder.Accept();
+  at_work.Read();
+  REQUIRE(Tell(old.admin, "/nodes/s-1/maint") == 200);
+  REQUIRE(Tell(old.admin, "/healthcheck/fail") == 200);
+  // Without the file: the hand-over itself tells.
+  std::filesystem::remove(platform.folder.path + "/burlfall-n1.out");
+  Program next(config, {"serve"}, nullptr, platform.world());
+  CHECK(next.output.find("1 out by hand") != std::string::npos);
+  CHECK(Call(next.admin, "GET", "/healthcheck") == 200);
+  CHECK(Up(platform.door.port) == 503);
+  REQUIRE(Tell(next.admin, "/healthcheck/ok") == 200);
+  CHECK(Up(platform.door.port) == 200);
+  Link again = Link::To(platform.door.port);
+  for (int i = 0; i < 10; ++i) CHECK(Served(again, two, Numbered("t", i)).ends_with("fine"));
+  REQUIRE(Tell(old.admin, "/nodes/s-2/maint") == 200);  // at the old one's address
+  REQUIRE(Tell(next.admin, "/nodes/s-1/ready") == 200);
+  CHECK(Says(next, "s-2 is out by hand"));
+  CHECK(Says(old, "s-1 is back"));
+  for (int i = 0; i < 5; ++i) CHECK(Served(again, one, Numbered("u", i)).ends_with("fine"));
+  at_work.Write(Ok("done", "Connection: close\r\n"));
+  CHECK(client.Read().ends_with("done"));
+  CHECK(old.Wait() == 0);
+}
+
+TEST_CASE("a second upgrade right after the first, and the first process still has an answer to give") {
+  Platform platform;
+  Peer server;
+  const std::string config = SiteText(Entry("s-1", server.port));
+  Program first(config, {"serve"}, nullptr, platform.world());
+  Link busy = Link::To(platform.door.port), quiet = Link::To(platform.door.port);
+  CHECK(Served(quiet, server, "t1").ends_with("fine"));
+  busy.Write(Post("open", "t2", "x"));
+  Link at_work = server.Accept();
+  at_work.Read();
+  Program second(config, {"serve"}, nullptr, platform.world());
+  Program third(config, {"serve"}, nullptr, platform.world());
+  CHECK(third.output.find("took over") != std::string::npos);
+  CHECK(Served(quiet, server, "t3").ends_with("fine"));
+  at_work.Write(Ok("once", "Connection: close\r\n"));
+  CHECK(busy.Read().ends_with("once"));
+  CHECK_FALSE(server.Called());
+  CHECK(first.Wait() == 0);
+  CHECK(second.Wait() == 0);
+  CHECK(Served(quiet, server, "t4").ends_with("fine"));
+}
+
+TEST_CASE("an heir that dies before it serves leaves the door to the old process, and after it too") {
+  Platform platform;
+  Peer server;
+  const std::string config = SiteText(Entry("s-1", server.port));
+  Program old(config, {"serve"}, nullptr, platform.world());
+  Link quiet = Link::To(platform.door.port);
+  CHECK(Served(quiet, server, "t1").ends_with("fine"));
+  const std::string claim = Pack('T', Claim{kHandoverVersion, "n1"});
+  {
+    const Descriptor heir = Meet(platform.socket());
+    Say(heir, claim);
+    CHECK(Hear(heir).front() == 'Z');
+  }
+  CHECK(Says(old, "did not come to serve"));
+  Link client = Link::To(platform.door.port);
+  CHECK(Served(client, server, "t2").ends_with("fine"));
+  {
+    const Descriptor heir = Meet(platform.socket());
+    Say(heir, claim);
+    CHECK(Hear(heir).front() == 'Z');
+    Say(heir, "S");
+    CHECK(Says(old, "handed over"));
+  }
+  CHECK(Says(old, "this one serves again"));
+  Link after = Link::To(platform.door.port);
+  CHECK(Served(after, server, "t3").ends_with("fine"));
+  Program next(config, {"serve"}, nullptr, platform.world());  // and can be taken over from again
+  CHECK(next.output.find("took over") != std::string::npos);
+  CHECK(old.Wait() == 0);
+}
+
+TEST_CASE("an heir that hangs leaves the door to the old process after a while") {
+  Platform platform;
+  Peer server;
+  Program old(SiteText(Entry("s-1", server.port)), {"serve"}, nullptr, platform.world());
+  const Descriptor heir = Meet(platform.socket());
+  Say(heir, Pack('T', Claim{kHandoverVersion, "n1"}));
+  CHECK(Hear(heir).front() == 'Z');
+  Link client = Link::To(platform.door.port);
+  CHECK(Served(client, server, "t1").ends_with("fine"));
+  CHECK(old.Wait(SIGTERM) == 0);
+}
+
+TEST_CASE("claims that can't be met are refused by name, and nothing stops") {
+  Platform platform;
+  Peer server;
+  Program old(SiteText(Entry("s-1", server.port)), {"serve"}, nullptr, platform.world());
+  CHECK(Says(old, "serves at"));
+  for (const std::string& bad :
+       {Pack('T', Claim{7, "n1"}), Pack('T', Claim{1, "n2"}), std::string("Tnonsense"), std::string("T")}) {
+    const Descriptor heir = Meet(platform.socket());
+    Say(heir, bad);
+    CHECK(Hear(heir).front() == 'N');
+  }
+  const Descriptor heir = Meet(platform.socket());
+  for (const char* odd : {"L", "S", "U123", "Q", "x", "O\xff\xff\xff\xff\xff\xff\xff\xff\xff", "E", "Z"}) {
+    Say(heir, odd);
+  }
+  Say(heir, Pack('T', Claim{kHandoverVersion, "n1"}));
+  std::string message = Hear(heir);
+  CHECK(message.front() == 'Z');
+  EstateReader reader;
+  CHECK(reader.Take(message) == EstateReader::Read::kWhole);
+  CHECK(reader.estate().hosts.size() == 1);
+  Link client = Link::To(platform.door.port);
+  CHECK(Served(client, server, "t1").ends_with("fine"));
+}
+
+TEST_CASE("an old process that hangs, a stale socket, a refusal: the new one begins by itself") {
+  Platform platform;
+  Peer server;
+  const std::string config = SiteText(Entry("s-1", server.port));
+  {
+    Descriptor stale(socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0));
+    sockaddr_un at{};
+    at.sun_family = AF_UNIX;
+    platform.socket().copy(at.sun_path, sizeof at.sun_path - 1);
+    REQUIRE(bind(stale.get(), reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+  }
+  Program old(config, {"serve"}, nullptr, platform.world());
+  Link client = Link::To(platform.door.port);
+  CHECK(Served(client, server, "t1").ends_with("fine"));
+  old.Signal(SIGSTOP);
+  const auto began = std::chrono::steady_clock::now();
+  Program next(config, {"serve"}, nullptr, platform.world());
+  CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(6));
+  CHECK(next.output.find("nothing taken over: no answer in time") != std::string::npos);
+  CHECK(Call(next.admin, "GET", "/healthcheck") == 200);
+  Link after = Link::To(platform.door.port);
+  CHECK(Served(after, server, "t2").ends_with("fine"));
+}
+
+TEST_CASE("a module of other settings is not taken over, but nodes, bans and the door are") {
+  Platform platform;
+  Peer one, two;
+  const std::string known = Entry("s-1", one.port) + "," + Entry("s-2", two.port);
+  Program old(SiteText(known), {"serve"}, nullptr, platform.world());
+  REQUIRE(Tell(old.admin, "/nodes/s-1/maint") == 200);
+  Program next(ConfigText({.connect_timeout = 900000, .admin = "127.0.0.1:0"}), {"serve"}, nullptr,
+               platform.world());
+  CHECK(next.output.find("took over without what the process before had learned: other settings") !=
+        std::string::npos);
+  Link client = Link::To(platform.door.port);
+  for (int i = 0; i < 5; ++i) CHECK(Served(client, two, Numbered("t", i)).ends_with("fine"));
+  CHECK(old.Wait() == 0);
+}
+
+TEST_CASE("SIGTERM before the claim: the new process takes the door of one that drains") {
+  Platform platform;
+  Peer server;
+  const std::string config = SiteText(Entry("s-1", server.port));
+  Program old(config, {"serve"}, nullptr, platform.world());
+  Link busy = Link::To(platform.door.port);
+  busy.Write(Get("t1"));
+  Link at_work = server.Accept();
+  at_work.Read();
+  old.Signal(SIGTERM);
+  Program next(config, {"serve"}, nullptr, platform.world());
+  Link client = Link::To(platform.door.port);
+  CHECK(Served(client, server, "t2").ends_with("fine"));
+  at_work.Write(Ok("owed", "Connection: close\r\n"));
+  CHECK(busy.Read().ends_with("owed"));
+  CHECK(old.Wait() == 0);
+}
+
+TEST_CASE("upgrades under load: each query is answered once, and no unsafe one runs twice") {
+  Platform platform;
+  Peer server;
+  const std::string config = SiteText(Entry("s-1", server.port));
+  std::atomic<bool> over{false};
+  std::multiset<std::string> ran;
+  std::vector<std::thread> at_server;
+  // One thread for each link that the server is given.
+  std::mutex mutex;
+  std::thread accepts([&] {
+    while (!over) {
+      if (!Readable(server.fd(), 20)) continue;
+      at_server.emplace_back(
+          [&, link = std::make_shared<Descriptor>(accept4(server.fd(), nullptr, nullptr, SOCK_CLOEXEC))] {
+            std::string in;
+            char piece[4096];
+            while (!over) {
+              if (!Readable(link->get(), 20)) continue;
+              const ssize_t n = recv(link->get(), piece, sizeof piece, 0);
+              if (n <= 0) return;
+              in.append(piece, static_cast<size_t>(n));
+              if (!in.ends_with("\r\n\r\nx")) continue;
+              const size_t at = in.find("X-Trace-Id: ") + 12;
+              {
+                const std::lock_guard<std::mutex> lock(mutex);
+                ran.insert(in.substr(at, in.find("\r\n", at) - at));
+              }
+              in.clear();
+              const std::string answer = Ok("y");
+              if (send(link->get(), answer.data(), answer.size(), MSG_NOSIGNAL) < 0) return;
+            }
+          });
+    }
+  });
+  std::vector<std::unique_ptr<Program>> processes;
+  processes.push_back(
+      std::make_unique<Program>(config, std::vector<std::string>{"serve"}, nullptr, platform.world()));
+  std::atomic<int> answered{0}, lost{0}, descriptors{0};
+  std::vector<std::thread> clients;
+  for (int c = 0; c < 8; ++c) {
+    clients.emplace_back([&, c] {
+      Descriptor link;
+      for (int i = 0; i < 400; ++i) {
+        if (!link) {
+          link = Descriptor(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+          sockaddr_in at = Loopback(platform.door.port);
+          if (connect(link.get(), reinterpret_cast<sockaddr*>(&at), sizeof at) != 0) ++lost;
+        }
+        const std::string query = Post("open", Numbered(std::to_string(c) + "-", i), "x");
+        send(link.get(), query.data(), query.size(), MSG_NOSIGNAL);
+        std::string answer;
+        char piece[4096];
+        while (!answer.ends_with("\r\n\r\ny")) {
+          const ssize_t n =
+              Readable(link.get(), kPatience * 1000) ? recv(link.get(), piece, sizeof piece, 0) : 0;
+          if (n <= 0) break;
+          answer.append(piece, static_cast<size_t>(n));
+        }
+        answer.starts_with("HTTP/1.1 200 ") ? ++answered : ++lost;
+        if (answer.empty() || answer.find("Connection: close") != std::string::npos) link = Descriptor();
+        poll(nullptr, 0, 1);
+      }
+    });
+  }
+  for (int i = 0; i < 3; ++i) {
+    processes.push_back(
+        std::make_unique<Program>(config, std::vector<std::string>{"serve"}, nullptr, platform.world()));
+    const long both = processes[processes.size() - 2]->Descriptors() + processes.back()->Descriptors();
+    descriptors = std::max<int>(descriptors, static_cast<int>(both));
+    processes[processes.size() - 2]->Signal(SIGTERM);
+    CHECK(processes[processes.size() - 2]->Wait() == 0);
+  }
+  for (std::thread& client : clients) client.join();
+  over = true;
+  accepts.join();
+  for (std::thread& one : at_server) one.join();
+  CHECK(lost == 0);
+  CHECK(answered == 8 * 400);
+  CHECK(ran.size() == 8 * 400);
+  CHECK(std::set<std::string>(ran.begin(), ran.end()).size() == ran.size());
+  CHECK(descriptors < 200);
+}
+
+TEST_CASE("a passed descriptor that can't be used ends the start in one line that names it") {
+  Peer server;
+  Link link = Link::To(server.port);
+  const std::string config = ConfigText({});
+  auto start = [&](const std::string& number, int passed) {
+    Program program(config, {"serve"}, nullptr,
+                    {.variables = {{"PROXY_PASSED_SOCKET", number}, {"TMPDIR", "/tmp"}}, .passed = passed});
+    CHECK(program.Wait() == 1);
+    return program.output;
+  };
+  CHECK(start("five", -1) == "burlfall: PROXY_PASSED_SOCKET: not a descriptor: five\n");
+  CHECK(start("77", -1) ==
+        "burlfall: PROXY_PASSED_SOCKET: descriptor 77 is no listening socket: Bad file descriptor\n");
+  CHECK(start("5", link.fd()) ==
+        "burlfall: PROXY_PASSED_SOCKET: descriptor 5 is no listening socket: Invalid argument\n");
+  Program folder(
+      config, {"serve"}, nullptr,
+      {.variables = {{"PROXY_PASSED_SOCKET", "5"}, {"TMPDIR", "/nowhere"}}, .passed = server.fd()});
+  CHECK(folder.Wait() == 1);
+  CHECK(folder.output == "burlfall: TMPDIR: /nowhere: No such file or directory\n");
+}
+
+}  // namespace burlfall
