In a crowd links make room by least progress; hosts that are long gone are forgotten

Cause: the link that made room was the oldest that had not asked, also where it was an honest query about to be whole, and clients could take every descriptor that links may use. Known hosts were kept for good.

Hosts that are gone for an hour are forgotten beyond 10,000; those out by hand never.

--- a/src/front/client_link.cpp
+++ b/src/front/client_link.cpp
@@ -75,6 +75,13 @@
   task_.Start();
 }
 
+LinkStanding ClientLink::Standing(Micros now) const {
+  using Doing = LinkStanding::Doing;
+  if (busy_ || leave_ || cut_ || leaving_) return {Doing::kBusy, 0};
+  if (began_ != 0) return {Doing::kHalf, now - std::max(began_, progress_at_)};
+  return {asked ? Doing::kIdle : Doing::kSilent, now - idle_since_};
+}
+
 void ClientLink::Leave() {
   leave_ = true;
   stream_->Notify();
--- a/src/front/client_link.h
+++ b/src/front/client_link.h
@@ -11,6 +11,7 @@
 #include "front/upload.h"
 #include "io/network.h"
 #include "links/byte_budget.h"
+#include "links/room.h"
 
 namespace burlfall {
 
@@ -44,6 +45,7 @@
   }
   // Of such a query nothing has come since then.
   bool StalledSince(Micros then) const { return UnfinishedSince(then) && progress_at_ <= then; }
+  LinkStanding Standing(Micros now) const;
   void Stir() { stream_->Notify(); }  // looks anew at what it is to do
   void Leave();                       // closes as soon as it is idle
   void Cut();                         // gives up on a query that is not whole
--- a/src/front/http_front.cpp
+++ b/src/front/http_front.cpp
@@ -18,6 +18,7 @@
 constexpr Micros kUnaskedFor = 2 * kSecond;        // with room to spare, too
 constexpr Micros kIdleWhereCrowded = 2 * kSecond;  // no link need stay for longer without a query
 constexpr size_t kShedAtOnce = 64;
+constexpr size_t kServersPart = 4;  // of what links may use, at least, is left to server links
 constexpr size_t kLeastHeld = 4096;
 constexpr size_t kHeldPart = 8;  // of the memory, by whole bodies; and as much by pieces of those that stream
 
@@ -128,8 +129,10 @@
   while (true) {
     // Room is made only as the links shed close. Guards the limit in a burst of connections: a process that
     // holds more than it may is stopped.
-    if (parts_.budget.open() >= parts_.budget.most() + LinkBudget::kSpare / 2) {
-      parts_.budget.MakeRoom(kShedAtOnce);
+    const size_t most = parts_.budget.most();
+    const bool over = parts_.config.in_service && open() >= most - most / kServersPart;
+    if (over || parts_.budget.open() >= most + LinkBudget::kSpare / 2) {
+      over ? MakeRoom(kShedAtOnce) : parts_.budget.MakeRoom(kShedAtOnce);
       return false;
     }
     std::unique_ptr<Stream> stream;
@@ -152,10 +155,28 @@
   }
 }
 
-// The client link that has been idle longest makes room, since clients come back at little cost. One that was
-// busy, or was accepted, a moment ago is no idle one: its next query may be on its way, and is lost if the
-// link closes now.
+// Clients come back at little cost. What has come on a link by then is still read and answered.
 bool HttpFront::MakeRoom(size_t wanted) {
+  if (!parts_.config.in_service) return MakeRoomByAge(wanted);
+  const Micros now = parts_.machine.Now();
+  std::vector<ClientLink*> links;
+  std::vector<LinkStanding> standings;
+  for (const Links* some : {&unasked_, &clients_}) {
+    for (const auto& link : *some) {
+      links.push_back(link.get());
+      standings.push_back(link->Standing(now));
+    }
+  }
+  const std::vector<size_t> first = WhoMakesRoom(standings, wanted);
+  for (size_t i : first) {
+    standings[i].doing == LinkStanding::Doing::kHalf ? links[i]->Cut() : links[i]->Leave();
+  }
+  return !first.empty();
+}
+
+// The client link that has been idle longest makes room. One that was busy, or was accepted, a moment ago is
+// no idle one: its next query may be on its way, and is lost if the link closes now.
+bool HttpFront::MakeRoomByAge(size_t wanted) {
   ShedUnasked(kUnaskedForShedding, kUnaskedForShedding, wanted);
   for (auto& link : clients_) {
     if (!link->IdleSince(parts_.machine.Now() - kIdleForShedding)) continue;
--- a/src/front/http_front.h
+++ b/src/front/http_front.h
@@ -80,6 +80,7 @@
   bool AcceptWaiting();
   Task<> Sweep();
   Task<> Bury();
+  bool MakeRoomByAge(size_t wanted);
   void ShedUnasked(Micros idle_for, Micros unfinished_for, size_t most);
   void ShedIdle(Micros idle_for);
   bool crowded() const { return open() * 6 >= static_cast<size_t>(parts_.config.sockets); }
--- a/src/membership/host_group.cpp
+++ b/src/membership/host_group.cpp
@@ -52,13 +52,14 @@
   return *host;
 }
 
-BackendList HostGroup::Take(const HostList& list) {
+BackendList HostGroup::Take(const HostList& list, Micros now) {
   BackendList told;
   version_ = list.version;
   told.kind = list.full ? ListKind::kFull : ListKind::kChanges;
   if (list.full && settings_.gone_binds) {
     for (auto& [id, host] : hosts_) {
       host->listed = BackendState::kGone;  // unless it is named below
+      if (host->gone_at == kNever) host->gone_at = now;
       Settle(*host);
     }
   }
@@ -73,10 +74,13 @@
     if (e.entry.state != BackendState::kGone) host.entry = e.entry;
     if (e.entry.state != BackendState::kGone || settings_.gone_binds) host.listed = e.entry.state;
     host.entry.id = host.id;
+    const bool gone = host.listed == BackendState::kGone;
+    host.gone_at = !gone ? kNever : host.gone_at == kNever ? now : host.gone_at;
     Settle(host);
     told.entries.push_back(Told(host));
     if (e.entry.state == BackendState::kGone) told.entries.back().state = BackendState::kGone;
   }
+  Forget(now);
   if (list.full) {
     for (auto& [id, host] : hosts_) Count(*host);
   } else {
@@ -85,6 +89,23 @@
   return told;
 }
 
+void HostGroup::Forget(Micros now) {
+  if (hosts_.size() <= kMostKnown) return;
+  std::vector<const Host*> gone;
+  for (const auto& [id, host] : hosts_) {
+    if (!host->out && host->gone_at != kNever && now - host->gone_at >= kKnownFor) gone.push_back(host.get());
+  }
+  std::sort(gone.begin(), gone.end(), [](const Host* a, const Host* b) {
+    return std::pair(a->gone_at, a->id) < std::pair(b->gone_at, b->id);
+  });
+  gone.resize(std::min(gone.size(), hosts_.size() - kMostKnown));
+  for (const Host* host : gone) {
+    const meadowslip::BackendId id = host->id;
+    by_name_.erase(host->name);
+    hosts_.erase(id);
+  }
+}
+
 // The one place that weighs the operator's word against the list's.
 void HostGroup::Settle(Host& host) const {
   const bool not_ours = host.out || Told(host).started_at > cold_since_;
--- a/src/membership/host_group.h
+++ b/src/membership/host_group.h
@@ -30,6 +30,7 @@
   bool out = false;                     // an operator has taken it out
   Micros out_at = 0;
   Micros back_at = 0;  // when an operator last put it back: it may have been started anew until then
+  Micros gone_at = kNever;
   Micros started_at = 0;
   uint64_t era = 0;  // counts its restarts and changes of address
   meadowslip::BackendState state_counted = meadowslip::BackendState::kGone;  // in the changes
@@ -66,11 +67,14 @@
 
 class HostGroup final : public ServerNames {
  public:
+  static constexpr size_t kMostKnown = 10000;
+  static constexpr Micros kKnownFor = 3600 * kSecond;
+
   explicit HostGroup(const meadowslip::Settings& settings) : settings_(settings) {}
 
-  // Takes the list in, and returns it as the module is to hear it: after this, so that both see the same
-  // states.
-  meadowslip::BackendList Take(const HostList& list);
+  // Takes the list in at this time, and returns it as the module is to hear it: after this, so that both see
+  // the same states.
+  meadowslip::BackendList Take(const HostList& list, Micros now = 0);
   // What an operator says goes before the list, until he puts the host back: it is draining meanwhile, and
   // keeps the list's word for later. False where no list ever named it. Both may be said again.
   bool TakeOut(std::string_view name, Micros now);
@@ -90,7 +94,8 @@
   void LeaveCold(bool leave, Micros now);
   // The group as it stands, for the module; no list says it.
   meadowslip::BackendList AsItStands() const;
-  // Hosts are never forgotten: a reference holds as long as the group.
+  // A reference holds until the host has been gone for an hour, and then as long as no more than kMostKnown
+  // are known: beyond that those that went first are forgotten. One that is out is not.
   const Host* Find(meadowslip::BackendId id) const;
   size_t Ready() const;                                    // how many are
   const HostChanges& changes() const { return changes_; }  // since they were forgotten
@@ -102,6 +107,7 @@
 
  private:
   Host& Named(const std::string& name);
+  void Forget(Micros now);
   Host* FindNamed(std::string_view name);
   void Settle(Host& host) const;
   static meadowslip::BackendEntry Told(const Host& host);
--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -345,7 +345,7 @@
   meadowslip::BackendList told;
   told.kind = meadowslip::ListKind::kFailed;
   if (list != nullptr) {
-    told = hosts_.Take(*list);
+    told = hosts_.Take(*list, machine_.Now());
     upstream_.Retire();
     list_log_->Heard();
   } else {
--- a/src/upstream/http_upstream.cpp
+++ b/src/upstream/http_upstream.cpp
@@ -266,6 +266,7 @@
 }
 
 void HttpUpstream::Retire() {
+  std::erase_if(idle_, [](const auto& one) { return one.second.empty(); });  // of hosts that may be forgotten
   for (auto& [id, idle] : idle_) {
     const Host& host = *hosts_.Find(id);
     const bool all = host.state != BackendState::kReady;
--- a/tests/module/rules_test.cpp
+++ b/tests/module/rules_test.cpp
@@ -64,6 +64,45 @@
   EXPECT_EQ(b.Finals(left) + b.Finals(done), 0);
 }
 
+// Its bytes are gone: whatever becomes of the attempt, no other one may follow.
+TEST(OneAnswer, ARequestWhoseBytesWentThroughIsNotSentAgainAndHasNotRun) {
+  for (const int cls : {0, 1, 2}) {
+    Bench b(PlainSettings());
+    b.Ready({1, 2});
+    const RequestId id = b.Request(cls);
+    b.StreamStarted(id, 0);
+    b.Pass(kSecond);  // it comes slowly: that is not the backend's fault
+    EXPECT_EQ(b.Count(Act::kSend, id), 1);
+    b.Result(id, 0, Outcome::kConnectFailed);
+    EXPECT_EQ(b.Count(Act::kSend, id), 1);
+    EXPECT_EQ(b.Count(Act::kRefuse, id), 1);
+  }
+}
+
+// The time of an attempt counts from the request's last byte: five that came slowly neither put their backend
+// to sleep nor teach that the class is slow.
+TEST(OneAnswer, ARequestThatCameSlowlySaysNothingAgainstItsBackend) {
+  Bench b(PlainSettings());
+  b.Ready({1});
+  b.Traffic(50, 0, Outcome::kOk, 2);
+  for (int i = 0; i < 8; ++i) {
+    const RequestId id = b.Request(2, 5 * kSecond);
+    ASSERT_EQ(b.SentTo(id), 1u);
+    b.StreamStarted(id, 0);
+    b.Pass(3 * kSecond);
+    b.StreamStarted(id, 0);
+    b.Pass(10 * kMs);
+    b.Result(id, 0, Outcome::kOk);
+  }
+  // What is silent is still found: an attempt is overdue as soon as before.
+  const RequestId lost = b.Request(0);
+  EXPECT_EQ(b.SentTo(lost), 1u);
+  b.Pass(400 * kMs);
+  EXPECT_EQ(b.Finals(lost), 0);
+  const RequestId next = b.Request(2);
+  EXPECT_EQ(b.SentTo(next), 1u);  // in service
+}
+
 TEST(OneAnswer, AStreamThatBeganIsLeftAlone) {
   Bench b(PlainSettings());
   b.Ready({1, 2});
--- a/tests/service/host_group_test.cpp
+++ b/tests/service/host_group_test.cpp
@@ -123,6 +123,28 @@
             BackendState::kDraining);
 }
 
+TEST(HostGroupMemory, IsBoundedAndKeepsThoseThatAreOutAndThoseThatAreThere) {
+  meadowslip::Settings settings;
+  HostGroup group(settings);
+  group.Take(List(false, {{"there", BackendState::kReady}, {"out", BackendState::kReady}}), 1);
+  group.TakeOut("out", 1);
+  group.Take(List(false, {{"out", BackendState::kGone}}), 1);
+  for (Micros i = 0; i < 300; ++i) {
+    std::vector<std::pair<std::string, BackendState>> come, go;
+    for (int k = 0; k < 100; ++k) {
+      come.emplace_back(std::string("h").append(std::to_string(100 * i + k)), BackendState::kReady);
+      go.emplace_back(come.back().first, BackendState::kGone);
+    }
+    group.Take(List(false, come), i * 60 * kSecond);
+    group.Take(List(false, go), i * 60 * kSecond + 1);
+  }
+  EXPECT_LE(group.AllNames().size(), HostGroup::kMostKnown + 100);
+  EXPECT_TRUE(group.Names("there"));
+  EXPECT_TRUE(group.Names("out"));
+  EXPECT_TRUE(group.Names("h29999"));
+  EXPECT_FALSE(group.Names("h0"));
+}
+
 // The module's side: what the group says of a node that is back reaches it, and a sleep that the restart
 // earned does not keep the node idle.
 class Sends final : public meadowslip::ActionSink {
--- a/tests/service/messages_test.cpp
+++ b/tests/service/messages_test.cpp
@@ -263,4 +263,32 @@
   CHECK(client.Read().ends_with("next"));
 }
 
+TEST_CASE("a large query is captured, and replays without a difference") {
+  Peer server;
+  TextFile file("capture.enabled = true\n");
+  Program program(ConfigText(InService(Entry("s-1", server.port))), {"serve", "--config", file.path});
+  for (const bool breaks : {false, true}) {
+    Link client = Link::To(program.port);
+    client.Write("POST /open HTTP/1.1\r\nX-Trace-Id: t\r\nContent-Length: 9000000\r\n\r\n" +
+                 std::string(100000, 'x'));
+    Link link = server.Accept();
+    CHECK_FALSE(HeadOf(link).empty());
+    if (breaks) link.Reset();
+    std::thread rest([&client] { PourBytes(client, 9000000 - 100000); });
+    if (!breaks) {
+      CHECK(Count(link, 9000000) == 9000000);
+      link.Write(Ok("done", "Connection: close\r\n"));
+    }
+    CHECK(client.Read().starts_with(breaks ? "HTTP/1.1 503 " : "HTTP/1.1 200 "));
+    rest.join();
+  }
+  program.Signal(SIGUSR1);
+  CHECK(program.Wait(SIGTERM) == 0);
+  CHECK(program.output.find("\"kind\":\"stream\"") != std::string::npos);
+  TextFile captured(program.output);
+  Program replay(ConfigText({}), {"replay", "--capture", captured.path, "--config", file.path});
+  CHECK(replay.Wait() == 0);
+  CHECK(replay.output.ends_with(" 0 differences\n"));
+}
+
 }  // namespace burlfall
