Fixed: a crash of the old process as it hands over, and a limit that hung on cuts

Found by the sanitizers: when an heir has the door, the listener for claims was destroyed before the task that waits on it, and the wait then wrote into what was gone. Seven of thirty stories of service failed under AddressSanitizer, none without it. The task goes first now; the stories are the test.

Found by the new fuzz target: a chunk's size line or a trailer of over 256 bytes was bad where it came in pieces and good where it came whole. The limit is 4,096 bytes in either case, with a test in the parser's cuts. Also: what is wrong with a passed descriptor took its words from an older error.

Ruled out: the fuzzer's other finding, which was the target's own, that left out the heads of messages in parts.

--- a/fuzz/http_fuzz.cpp
+++ b/fuzz/http_fuzz.cpp
@@ -12,6 +12,12 @@
 
 using namespace burlfall;
 
+std::string Head(const HttpMessage& m) {
+  std::string said = m.method + m.target + std::to_string(m.status);
+  for (const Header& h : m.headers) said += ";" + h.name + ":" + h.value;
+  return said + "/";
+}
+
 // All messages in the bytes, as one text; how the last one ended is its last word.
 std::string Read(HttpParser::Kind kind, std::string_view bytes, size_t piece) {
   HttpParser parser(kind, 1 << 20, 256);
@@ -27,7 +33,7 @@
     if (parsed == Parsed::kPart) {
       parted = true;
       const HttpMessage head = parser.TakeHead();
-      said += head.method + head.target + std::to_string(head.status) + "/" + head.body;
+      said += Head(head) + head.body;
       parsed = parser.Feed(buffer);
       if (parsed == Parsed::kPart) std::abort();  // it is said once
     }
@@ -38,8 +44,7 @@
     if (buffer.size() > kMostHead + piece + 512) std::abort();
     if (parsed == Parsed::kDone) {
       const HttpMessage whole = parser.Take();
-      if (!parted) said += whole.method + whole.target + std::to_string(whole.status) + "/" + whole.body;
-      for (const Header& h : whole.headers) said += h.name + ":" + h.value + ";";
+      if (!parted) said += Head(whole) + whole.body;
       said += "|";
       parted = false;
       parsed = Parsed::kMore;
--- a/src/codec/http.cpp
+++ b/src/codec/http.cpp
@@ -266,7 +266,7 @@
 }
 
 Parsed HttpParser::Chunks(std::string& buffer) {
-  constexpr size_t kMostLine = 256;
+  constexpr size_t kMostLine = 4096;  // of a chunk's size with its extensions, or of a trailer
   while (true) {
     if (part_ == Part::kChunk) {
       size_t n = std::min(left_, buffer.size());
@@ -278,7 +278,9 @@
       part_ = Part::kChunkEnd;
     }
     size_t eol = buffer.find("\r\n");
-    if (eol == std::string::npos) return buffer.size() > kMostLine ? Parsed::kBad : Parsed::kMore;
+    // Also where it has come whole: what a message says must not hang on how it is cut.
+    if (std::min(eol, buffer.size()) > kMostLine) return Parsed::kBad;
+    if (eol == std::string::npos) return Parsed::kMore;
     std::string line = buffer.substr(0, eol);
     buffer.erase(0, eol + 2);
     if (part_ == Part::kChunkEnd) {
--- a/src/handover/handover.cpp
+++ b/src/handover/handover.cpp
@@ -168,8 +168,8 @@
     case 'S':
       if (!heir || !other.claimed || other.serves) break;
       other.serves = true;
+      await_ = Task<>();  // before what it waits on
       listener_.reset();  // the path is the heir's
-      await_ = Task<>();
       return heritage_.HandOn();
     case 'L': {
       std::optional<PassedLink> link = Unpack<PassedLink>(rest);
--- a/src/io/real_network.cpp
+++ b/src/io/real_network.cpp
@@ -193,8 +193,9 @@
   std::unique_ptr<Listener> Adopt(int descriptor) override {
     int listens = 0;
     socklen_t length = sizeof listens;
-    if (getsockopt(descriptor, SOL_SOCKET, SO_ACCEPTCONN, &listens, &length) != 0 || listens == 0) {
-      const int error = listens == 0 && errno == 0 ? EINVAL : errno;
+    const bool known = getsockopt(descriptor, SOL_SOCKET, SO_ACCEPTCONN, &listens, &length) == 0;
+    if (!known || listens == 0) {
+      const int error = known ? EINVAL : errno;
       throw std::system_error(error, std::generic_category(),
                               "descriptor " + std::to_string(descriptor) + " is no listening socket");
     }
--- a/tests/service/http_parser_test.cpp
+++ b/tests/service/http_parser_test.cpp
@@ -131,6 +131,10 @@
     EXPECT_EQ(Hear(Kind::kRequest, {bad}, false).last, Parsed::kBad) << bad;
     SameInAnyPieces(Kind::kRequest, bad);
   }
+  // Found by the fuzzer: a long line was bad where it came in pieces, and good where it came whole.
+  const std::string chunk = post + "Transfer-Encoding: chunked\r\n\r\n3;";
+  SameInAnyPieces(Kind::kRequest, chunk + std::string(1000, 'e') + "\r\nabc\r\n0\r\n\r\n");
+  SameInAnyPieces(Kind::kRequest, chunk + std::string(5000, 'e') + "\r\nabc\r\n0\r\n\r\n");
   // A length that is folded into the next line is one, too.
   EXPECT_EQ(
       Hear(Kind::kRequest, {post + "Transfer-Encoding:\r\n chunked\r\nContent-Length: 3\r\n\r\n"}, false)
