The test of a node that is back fails without the ended sleep

Found by taking the code out: the test passed without it, since the sleep happened to end by itself. It now takes the node out right after a failed trial, with half a minute of sleep to come: without the line 0 queries in 5 s, with it some.

--- a/tests/service/host_group_test.cpp
+++ b/tests/service/host_group_test.cpp
@@ -204,7 +204,9 @@
     }
   };
   play(5 * kSecond, false);
-  for (int i = 0; i < 6; ++i) play(20 * kSecond, true);  // it sleeps for half a minute by now
+  for (int i = 0; i < 6; ++i) play(20 * kSecond, true);
+  to_a = 0;
+  while (to_a == 0) play(10 * kMs, true);  // a trial that fails: it sleeps for half a minute from here on
   hosts.TakeOut("a", now);
   module.OnList(now, hosts.AsItStands(), sends);
   to_a = 0;
