--- a/src/codec/http.cpp
+++ b/src/codec/http.cpp
@@ -225,16 +225,15 @@
     if (!Digits(line.substr(one + 1, 3), status, 10) || status < 100 || status > 599) return false;
     message_.status = static_cast<int>(status);
   }
-  http_1_0_ = version == "HTTP/1.0";
-  return http_1_0_ || version == "HTTP/1.1";
+  message_.http_1_0 = version == "HTTP/1.0";
+  return message_.http_1_0 || version == "HTTP/1.1";
 }
 
 // How the body ends. Two ways of saying it in one message are a smuggler's: bad.
 Parsed HttpParser::Framing() {
   const std::string* connection = message_.Find("Connection");
   std::string_view words = connection != nullptr ? std::string_view(*connection) : std::string_view();
-  message_.http_1_0 = http_1_0_;
-  message_.keep_alive = http_1_0_ ? HasWord(words, "keep-alive") : !HasWord(words, "close");
+  message_.keep_alive = message_.http_1_0 ? HasWord(words, "keep-alive") : !HasWord(words, "close");
   const std::string* expect = message_.Find("Expect");
   expects_ = kind_ == Kind::kRequest && expect != nullptr && SameName(*expect, "100-continue");
   const std::string* coding = message_.Find("Transfer-Encoding");
--- a/src/codec/http.h
+++ b/src/codec/http.h
@@ -49,7 +49,7 @@
 enum class Parsed {
   kMore,
   kDone,
-  kPart,  // the head is whole, and the body is more than is held: TakeHead(), then Feed() and TakeBody()
+  kPart,  // the head is whole, and the body is more than is held: TakeHead(), then Feed() and body()
   kBad,
   kTooLarge,
 };
@@ -98,7 +98,6 @@
   std::optional<size_t> length_;
   bool parted_ = false;  // its head was taken
   bool no_body_ = false;
-  bool http_1_0_ = false;
   bool expects_ = false;
   HttpMessage message_;
 };
--- a/src/front/http_front.cpp
+++ b/src/front/http_front.cpp
@@ -62,10 +62,11 @@
   shut_ = true;
 }
 
-void HttpFront::Reopen() {
-  if (!std::exchange(shut_, false)) return;
+bool HttpFront::Reopen() {
+  if (!std::exchange(shut_, false)) return false;
   accept_ = Accept();
   accept_.Start();
+  return true;
 }
 
 void HttpFront::PassOn(Passing pass) {
--- a/src/front/http_front.h
+++ b/src/front/http_front.h
@@ -53,7 +53,7 @@
   void ComeBack();
   // The door: connections wait in the machine's line meanwhile.
   void Shut();
-  void Reopen();
+  bool Reopen();  // false: it was open
   // Links go over to another process as they become quiet, each with one call of `pass`. Stir() tries those
   // anew that found no room. nullptr: no more.
   using Passing = std::function<Io(Stream&, const QuietLink&)>;
--- a/src/membership/host_group.cpp
+++ b/src/membership/host_group.cpp
@@ -152,6 +152,11 @@
   TakeOut(name, since);
 }
 
+bool HostGroup::IsOut(std::string_view name) const {
+  auto it = by_name_.find(std::string(name));
+  return it != by_name_.end() && it->second->out;
+}
+
 std::vector<OutHost> HostGroup::Out() const {
   std::vector<OutHost> out;
   for (const auto& [name, host] : by_name_) {
--- a/src/membership/host_group.h
+++ b/src/membership/host_group.h
@@ -84,6 +84,7 @@
   // For those that were out before this start; the list may name them later.
   void TakeOutUnseen(const std::string& name, Micros since);
   bool Names(std::string_view name) const { return by_name_.contains(std::string(name)); }
+  bool IsOut(std::string_view name) const;
   std::vector<OutHost> Out() const;  // by name
   // All that is known of all hosts, for the process that takes over; and that, taken over, instead of a list:
   // false where it can't be, and nothing has changed. To be called before all else.
--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -187,11 +187,9 @@
 
 Verdict Program::TakeOut(std::string_view server) {
   if (phase_ == Phase::kStarting) return Verdict::kNotNow;
-  std::vector<OutHost> out = hosts_.Out();
-  if (std::any_of(out.begin(), out.end(), [&](const OutHost& h) { return h.name == server; })) {
-    return Verdict::kDone;  // one ban, since the first call
-  }
+  if (hosts_.IsOut(server)) return Verdict::kDone;  // one ban, since the first call
   if (!hosts_.Names(server)) return Verdict::kUnknown;
+  std::vector<OutHost> out = hosts_.Out();
   const Micros now = machine_.Now();
   out.push_back({std::string(server), now});
   if (!KeepOut(out)) return Verdict::kFailed;
@@ -205,8 +203,9 @@
 Verdict Program::PutBack(std::string_view server) {
   if (phase_ == Phase::kStarting) return Verdict::kNotNow;
   if (!hosts_.Names(server)) return Verdict::kUnknown;
+  if (!hosts_.IsOut(server)) return Verdict::kDone;
   std::vector<OutHost> out = hosts_.Out();
-  if (std::erase_if(out, [&](const OutHost& h) { return h.name == server; }) == 0) return Verdict::kDone;
+  std::erase_if(out, [&](const OutHost& h) { return h.name == server; });
   KeepOut(out);  // a full disk must not keep a sound node out
   const Micros now = machine_.Now();
   hosts_.PutBack(server, now);
@@ -264,8 +263,7 @@
 
 void Program::KeepDoor() {
   if (!Serving() && phase_ != Phase::kDraining) return;
-  log_.Tell<"door_kept">();
-  front_.Reopen();
+  if (front_.Reopen()) log_.Tell<"door_kept">();  // an heir that came no further may be told of twice
 }
 
 void Program::HandOn() {
@@ -320,21 +318,18 @@
 
 // Said on: a third process may be about. It ends where it is known.
 void Program::OtherTookOut(const NodeCall& call) {
-  const std::vector<OutHost> out = hosts_.Out();
-  if (std::any_of(out.begin(), out.end(), [&](const OutHost& h) { return h.name == call.name; })) return;
-  if (!hosts_.TakeOut(call.name, call.since)) return;
+  if (hosts_.IsOut(call.name) || !hosts_.TakeOut(call.name, call.since)) return;
   HostsChanged();
   handover_->TellOut(call);
-  log_.Tell<"node_out">(call.name, out.size() + 1);
+  log_.Tell<"node_out">(call.name, hosts_.Out().size());
 }
 
 void Program::OtherPutBack(const NodeCall& call) {
-  const std::vector<OutHost> out = hosts_.Out();
-  if (std::none_of(out.begin(), out.end(), [&](const OutHost& h) { return h.name == call.name; })) return;
+  if (!hosts_.IsOut(call.name)) return;
   hosts_.PutBack(call.name, call.since);
   HostsChanged();
   handover_->TellBack(call);
-  log_.Tell<"node_back">(call.name, out.size() - 1);
+  log_.Tell<"node_back">(call.name, hosts_.Out().size());
 }
 
 void Program::OtherDrains(bool drains) { SetAside(drains); }
--- a/src/serve/program.h
+++ b/src/serve/program.h
@@ -55,8 +55,6 @@
   void Dump();                                // what was captured, to standard error
   void Finish();                              // what the features still have to write
   Phase phase() const { return phase_; }
-  uint16_t port() const { return front_.port(); }
-  uint16_t admin_port() const { return control_ ? control_->port() : 0; }  // 0: there is no second address
   const Counters& counters() const { return counters_; }
   size_t descriptors() const;  // how many may be open
 
--- a/tests/service/operators.h
+++ b/tests/service/operators.h
@@ -31,6 +31,14 @@
   return answer.empty() ? 0 : std::stoi(answer.substr(9, 3));
 }
 inline int Tell(uint16_t port, const std::string& path) { return Call(port, "POST", path); }
+// What a query gets, which this server is to answer on a link of its own.
+inline std::string Served(Link& client, Peer& server, const std::string& trace) {
+  client.Write(Get(trace));
+  Link link = server.Accept();
+  link.Read();
+  link.Write(Ok("fine", "Connection: close\r\n"));
+  return client.Read();
+}
 inline int Up(uint16_t port) { return Call(port, "GET", "/up"); }
 
 }  // namespace burlfall
--- a/tests/service/operators_test.cpp
+++ b/tests/service/operators_test.cpp
@@ -70,11 +70,7 @@
   REQUIRE(Tell(program.admin, "/nodes/s-1/maint") == 200);
   Link client = Link::To(program.port);
   for (int i = 0; i < 20; ++i) {
-    client.Write(Get("t" + std::to_string(i)));
-    Link link = two.Accept();
-    link.Read();
-    link.Write(Ok("two", "Connection: close\r\n"));
-    CHECK(client.Read().ends_with("two"));
+    CHECK(Served(client, two, "t" + std::to_string(i)).ends_with("fine"));
   }
   CHECK_FALSE(one.Called());
   REQUIRE(Tell(program.admin, "/nodes/s-1/ready") == 200);
@@ -123,11 +119,7 @@
     CHECK(second.output.find("1 nodes are out by hand since before this start") != std::string::npos);
     Link client = Link::To(second.port);
     for (int i = 0; i < 10; ++i) {
-      client.Write(Get("t" + std::to_string(i)));
-      Link link = two.Accept();
-      link.Read();
-      link.Write(Ok("two", "Connection: close\r\n"));
-      CHECK(client.Read().ends_with("two"));
+      CHECK(Served(client, two, "t" + std::to_string(i)).ends_with("fine"));
     }
     CHECK_FALSE(one.Called());
     REQUIRE(Tell(second.admin, "/nodes/s-1/ready") == 200);
@@ -160,14 +152,7 @@
   Peer server;
   Program program(ConfigText({.known = Entry("s-1", server.port), .admin = "127.0.0.1:0"}));
   Link idle = Link::To(program.port), busy = Link::To(program.port), silent = Link::To(program.port);
-  auto serve = [&](Link& client, const std::string& trace) {
-    client.Write(Get(trace));
-    Link link = server.Accept();
-    link.Read();
-    link.Write(Ok("fine", "Connection: close\r\n"));
-    return client.Read();
-  };
-  CHECK(serve(idle, "t1").find("Connection: close") == std::string::npos);
+  CHECK(Served(idle, server, "t1").find("Connection: close") == std::string::npos);
   busy.Write(Get("t2"));
   Link at_work = server.Accept();
   at_work.Read();
@@ -177,7 +162,7 @@
   CHECK(Up(program.port) == 503);
   CHECK(Call(program.admin, "GET", "/healthcheck") == 200);
   Link late = Link::To(program.port);  // the front has not looked yet
-  CHECK(serve(late, "t3").find("Connection: close") != std::string::npos);
+  CHECK(Served(late, server, "t3").find("Connection: close") != std::string::npos);
   CHECK(idle.Ended());
   CHECK(silent.Ended());
   CHECK(Clock::now() - began < std::chrono::seconds(4));
@@ -188,7 +173,7 @@
   REQUIRE(Tell(program.admin, "/healthcheck/ok") == 200);
   CHECK(Up(program.port) == 200);
   Link again = Link::To(program.port);
-  CHECK(serve(again, "t4").find("Connection: close") == std::string::npos);
+  CHECK(Served(again, server, "t4").find("Connection: close") == std::string::npos);
   CHECK(Tell(program.admin, "/healthcheck/ok") == 200);
 }
 
--- a/tests/service/upgrade_test.cpp
+++ b/tests/service/upgrade_test.cpp
@@ -63,14 +63,6 @@
   return message;
 }
 
-std::string Served(Link& client, Peer& server, const std::string& trace) {
-  client.Write(Get(trace));
-  Link link = server.Accept();
-  link.Read();
-  link.Write(Ok("fine", "Connection: close\r\n"));
-  return client.Read();
-}
-
 }  // namespace
 
 TEST_CASE("an upgrade passes quiet links on, with what was read of them, and answers what is on its way") {
