--- a/src/io/scheduler.h
+++ b/src/io/scheduler.h
@@ -26,7 +26,7 @@
   // Unix time at the start plus what has passed since: it never steps.
   virtual Micros Now() const = 0;
   void Run();  // until Stop()
-  void Stop() { stopped_ = true; }
+  virtual void Stop() { stopped_ = true; }
 
  protected:
   // Waits for the outside and notifies the signals that it speaks of: until then at the longest, not at all
--- a/src/lab/commands.cpp
+++ b/src/lab/commands.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -17,6 +18,7 @@
 #include "io/real_files.h"
 #include "lab/compare.h"
 #include "lab/experiment_file.h"
+#include "lab/history_file.h"
 #include "lab/play.h"
 #include "lab/report.h"
 #include "lab/script.h"
@@ -128,6 +130,7 @@
   bool keep = false;
   bool json = false;
   bool rules_only = false;
+  bool history = false;
 };
 
 // On a terminal one line that changes; else one now and then, so that a log shows that it goes on.
@@ -191,7 +194,16 @@
   const fs::path path = RunPath(words.out, experiment.name, options.subject, seed);
   ProgressLine line(experiment.name + ", seed " + std::to_string(seed) + ", " + options.subject);
   options.progress = [&](const Run::Progress& now) { line.Tell(now); };
+  std::ofstream history;
+  if (words.history) {
+    NeedFolder(path);
+    history.open(path / "history.jsonl", std::ios::binary | std::ios::trunc);
+    options.history = [&](std::string_view event) { history << event; };
+  }
   Played played = Play(experiment, seed, options);
+  if (words.history && !history.flush()) {
+    throw std::runtime_error((path / "history.jsonl").string() + ": can't be written");
+  }
   interrupted = played.interrupted;
   for (const std::string& note : played.notes) Complain(note);
   if (!played.folder.empty()) std::cerr << "the balancers' files are in " << played.folder << "\n";
@@ -255,6 +267,31 @@
   return code;
 }
 
+// ---- judge -----------------------------------------------------------------------------------------------
+
+int JudgeFile(const std::string& file, bool json) {
+  const std::optional<std::string> text = MakeRealFiles()->Read(file);
+  if (!text) throw std::runtime_error(file + ": can't be read");
+  BadLine bad;
+  const std::optional<JudgedHistory> judged = JudgeHistory(*text, bad);
+  if (!judged) throw std::runtime_error(file + ":" + std::to_string(bad.line) + ": " + bad.why);
+  if (json) {
+    std::cout << ToJson(judged->verdict).dump() << "\n";
+  } else {
+    for (const JudgedHistory::At& one : judged->broken) {
+      std::printf("%s:%zu: %s broken at %.3f s%s%s: %s\n", file.c_str(), one.line, one.rule.c_str(),
+                  one.finding.at_s, one.finding.trace.empty() ? "" : ", query ", one.finding.trace.c_str(),
+                  one.finding.why.c_str());
+    }
+    uint64_t broken = 0;
+    for (const RuleResult& rule : judged->verdict.rules) broken += rule.broken;
+    std::printf("%s: %llu queries, %zu rules, broken %llu times\n", file.c_str(),
+                static_cast<unsigned long long>(judged->verdict.outcomes.asked), judged->verdict.rules.size(),
+                static_cast<unsigned long long>(broken));
+  }
+  return judged->verdict.rules_kept ? 0 : kWrong;
+}
+
 // ---- compare, report, table ------------------------------------------------------------------------------
 
 int CompareDirs(const std::string& before, const std::string& after, double confidence, bool json) {
@@ -359,8 +396,19 @@
   run->add_flag("--json", words->json, "each result on one line of JSON");
   run->add_flag("--rules-only", words->rules_only,
                 "the exit code tells of rules alone, were the lab late too");
+  run->add_flag("--history", words->history, "writes what was seen, event by event, beside each result");
   run->callback([words, &code] { Guarded(code, [&] { return RunAll(*words); }); });
 
+  CLI::App* judge = lab.add_subcommand(
+      "judge",
+      "Judges a history again: history.jsonl of `run --history`, or one written by hand.\n"
+      "Ends with 0 where every rule held, with 1 where one broke, with 2 where it is no history.");
+  auto judge_file = std::make_shared<std::string>();
+  auto judge_json = std::make_shared<bool>(false);
+  judge->add_option("FILE", *judge_file, "the history")->required();
+  judge->add_flag("--json", *judge_json, "the whole result, as result.json has it");
+  judge->callback([=, &code] { Guarded(code, [&] { return JudgeFile(*judge_file, *judge_json); }); });
+
   CLI::App* compare =
       lab.add_subcommand("compare", "What two folders of results differ in, and what is noise.");
   auto dirs = std::make_shared<std::pair<std::string, std::string>>();
--- /dev/null
+++ b/src/lab/history_file.h
@@ -0,0 +1,97 @@
+// A history as a file: all that was seen of a run from outside, one event a line, written as it happens, for
+// people to read and for the judge to take in again. docs/history.md tells the form. Nothing in it comes from
+// a balancer's log, counters or memory.
+//
+//   HistoryWriter writer(facts, [&](std::string_view line) { file << line; });
+//   ... a Witness like any other ...
+//   writer.End(now);
+#ifndef BURLFALL_LAB_HISTORY_FILE_H_
+#define BURLFALL_LAB_HISTORY_FILE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "lab/facts.h"
+#include "lab/result.h"
+#include "lab/witness.h"
+
+namespace burlfall::lab {
+
+constexpr int kHistoryVersion = 1;
+
+class HistoryWriter final : public Witness {
+ public:
+  using Take = std::function<void(std::string_view line)>;  // with its line break
+  HistoryWriter(const Facts& facts, Take take);
+  // The last line. Without it a history is taken for one that was cut short.
+  void End(Micros at);
+
+  void Due(const Try& one) override;
+  void Written(TraceId trace, Micros at) override;
+  void Ended(TraceId trace, Micros at, lab::End how, int status, const Mark& mark,
+             Micros refused_for) override;
+  void SentLate(Micros late_by) override;
+  void Arrived(const AttemptSeen& attempt) override;
+  void Ran(uint64_t attempt, Micros at, bool effect) override;
+  void AnsweredAtNode(uint64_t attempt, Micros at, AtNode how) override;
+  void LinkEnded(uint64_t attempt, Micros at) override;
+  void HandshakeAt(int node, int balancer, Micros at) override;
+  void NodeChanged(int node, NodeChange change, Micros at, const std::vector<double>& pushed_by) override;
+  void Strange(int node, int balancer, Micros at) override;
+  void Listed(int node, meadowslip::BackendState state, Micros started_at, Micros at) override;
+  void Told(int balancer, int node, meadowslip::BackendState state, Micros started_at, Micros at) override;
+  void Asked(int balancer, Micros at, bool watching) override;
+  void AskFailed(int balancer, Micros at) override;
+  void ByHand(int balancer, int node, bool out, Micros at) override;
+  void BalancerUp(int balancer, Micros at) override;
+  void BalancerDown(int balancer, Micros at, bool planned) override;
+  void FaultBegan(int action, Micros at) override;
+  void FaultEnded(int action, Micros at) override;
+
+ private:
+  struct Line;
+  void Say(const Line& line);
+
+  const Micros begins_at_;
+  const Take take_;
+  Micros last_at_;
+  uint64_t events_ = 0;
+};
+
+// What is wrong with a text that is no history.
+struct BadLine {
+  std::size_t line = 0;  // from 1
+  std::string why;
+};
+
+// Tells the events of a history, in order, to the witness that `begin` makes of its first line. False where
+// it is none; what was told by then is worth nothing.
+struct HistoryReader {
+  std::function<Witness&(const Facts& facts)> begin;
+  std::function<void(std::size_t line)> before = [](std::size_t) {};  // each event is told
+  Micros ended_at = 0;
+  BadLine bad;
+  bool Read(std::string_view text);
+};
+
+// The judge's word on a history: the same as of the run itself.
+struct JudgedHistory {
+  Verdict verdict;
+  struct At {
+    std::string rule;
+    Finding finding;
+    std::size_t line =
+        0;  // of the event that broke it; where that is one that never came, of the last before
+  };
+  std::vector<At> broken;
+};
+std::optional<JudgedHistory> JudgeHistory(std::string_view text, BadLine& bad);
+
+}  // namespace burlfall::lab
+
+#endif  // BURLFALL_LAB_HISTORY_FILE_H_
--- a/src/lab/judge.cpp
+++ b/src/lab/judge.cpp
@@ -161,6 +161,7 @@
   if (NodeResult* node = Find(verdict_.nodes, attempt.node)) ++node->attempts;
   if (BalancerResult* balancer = Find(verdict_.balancers, attempt.balancer)) ++balancer->attempts;
   JudgeDrain(attempt);
+  JudgeListed(attempt);
   const auto of = tries_.find(attempt.trace);
   if (of == tries_.end()) {
     Finding finding = About(attempt.balancer, attempt.node,
@@ -279,6 +280,12 @@
 
 void Judge::AskFailed(int balancer, Micros at) { told_.AskFailed(balancer, at); }
 
+void Judge::ByHand(int balancer, int node, bool out, Micros at) { told_.ByHand(balancer, node, out, at); }
+
+void Judge::Strange(int node, int balancer, Micros at) {
+  Break(Rule::kMadeUp, About(balancer, node, "something came that no client had made"), 0, at, 0);
+}
+
 void Judge::BalancerUp(int balancer, Micros at) {
   stories_.BalancerUp(balancer, at);
   told_.BalancerUp(balancer, at);
@@ -422,13 +429,23 @@
   Finding finding = About(
       attempt.balancer, attempt.node,
       Format("attempt %llu was sent %.1f ms after the balancer was told, or deemed told, that the "
-             "node drains or is gone; %.1f ms are allowed",
+             "node drains, is gone or is out by hand; %.1f ms are allowed",
              static_cast<unsigned long long>(attempt.attempt), Ms(attempt.first_byte_at - since), Ms(grace)));
   if (one != nullptr) finding.query = HexOf(one->one.first);
   Break(Rule::kDraining, std::move(finding), attempt.trace, attempt.first_byte_at,
         attempt.first_byte_at - facts_.linger);
 }
 
+void Judge::JudgeListed(const AttemptSeen& attempt) {
+  if (!told_.NeverNamed(attempt.balancer, attempt.node, attempt.first_byte_at)) return;
+  Finding finding = About(attempt.balancer, attempt.node,
+                          Format("attempt %llu was sent to a node that the balancer has heard of in no list",
+                                 static_cast<unsigned long long>(attempt.attempt)));
+  if (const TryRecord* one = FindTry(attempt.trace)) finding.query = HexOf(one->one.first);
+  Break(Rule::kUnlisted, std::move(finding), attempt.trace, attempt.first_byte_at,
+        attempt.first_byte_at - facts_.linger);
+}
+
 void Judge::JudgeCrashes() {
   for (const History::Down& down : history_.downs()) {
     BalancerResult* balancer = Find(verdict_.balancers, down.balancer);
--- a/src/lab/judge.h
+++ b/src/lab/judge.h
@@ -58,10 +58,12 @@
   void LinkEnded(uint64_t attempt, Micros at) override;
   void HandshakeAt(int node, int balancer, Micros at) override;
   void NodeChanged(int node, NodeChange change, Micros at, const std::vector<double>& pushed_by) override;
+  void Strange(int node, int balancer, Micros at) override;
   void Listed(int node, meadowslip::BackendState state, Micros started_at, Micros at) override;
   void Told(int balancer, int node, meadowslip::BackendState state, Micros started_at, Micros at) override;
   void Asked(int balancer, Micros at, bool watching) override;
   void AskFailed(int balancer, Micros at) override;
+  void ByHand(int balancer, int node, bool out, Micros at) override;
   void BalancerUp(int balancer, Micros at) override;
   void BalancerDown(int balancer, Micros at, bool planned) override;
   void FaultBegan(int action, Micros at) override;
@@ -86,6 +88,7 @@
   AttemptRecord* FindAttempt(uint64_t attempt);
   void Count(const QueryRecord& query);  // and what was judged of it
   void JudgeDrain(const AttemptSeen& attempt);
+  void JudgeListed(const AttemptSeen& attempt);
   void JudgeCrashes();
 
   void Break(Rule rule, Finding finding, TraceId trace, Micros at, Micros since);
--- a/src/lab/node.cpp
+++ b/src/lab/node.cpp
@@ -158,6 +158,7 @@
   const bool known = trace != 0 && site_.work_of && site_.work_of(trace, info);
   if ((known && info.cls >= 0 && info.cls != one.cls) || (!known && site_.work_of && hint < 0)) {
     ++strange_;
+    site_.witness.Strange(number_, link.gate->balancer, machine_.Now());
     return trace_text != nullptr ? 400 : 404;
   }
   const Micros now = machine_.Now();
--- a/src/lab/play.cpp
+++ b/src/lab/play.cpp
@@ -74,6 +74,7 @@
   Run::Setup setup;
   setup.subject = options.subject;
   setup.start_within = options.start_within;
+  setup.history = options.history;
   setup.node_host = Block() + "1";
   for (int b = 0; b < experiment.site.balancers.count; ++b) {
     const int host = 2 + b % 250;
--- a/src/lab/play.h
+++ b/src/lab/play.h
@@ -18,6 +18,7 @@
   std::string subject;
   std::string properties;  // the operators' file for balancers; empty: none
   bool keep_folder = false;
+  HistoryWriter::Take history = {};  // takes the history's lines
   Micros start_within = 2 * kSecond;
   // Told about twice a second, while it runs.
   std::function<void(const Run::Progress&)> progress = [](const Run::Progress&) {};
--- a/src/lab/result.cpp
+++ b/src/lab/result.cpp
@@ -29,10 +29,14 @@
     {"refusal_untrue", "A query is refused only where trying again is harmless."},
     {"copies",
      "No two attempts of a try are out at once, where copies are not allowed or the query is unsafe."},
-    {"draining", "Nothing new goes to a node once the grace is over after word that it drains or is gone."},
+    {"draining",
+     "Nothing new goes to a node once the grace is over after word that it drains, is gone or is out by "
+     "hand."},
     {"cold_node", "No cold node falls over by what balancers send it that know of its start."},
     {"too_many_attempts", "A try has no more attempts than the settings allow."},
     {"crashed", "A balancer ends only when it is told to, or killed by the script."},
+    {"unlisted", "Nothing goes to a node that no list has named to this balancer since its start."},
+    {"made_up", "Nothing comes to a node that no client has made: there are no probes."},
 };
 
 // The one list. `f` is told of each field by its name, the field, its unit and what it means.
--- a/src/lab/result.h
+++ b/src/lab/result.h
@@ -30,8 +30,10 @@
   kColdNode,
   kTooManyAttempts,
   kCrashed,
+  kUnlisted,
+  kMadeUp,
 };
-constexpr int kRules = static_cast<int>(Rule::kCrashed) + 1;
+constexpr int kRules = static_cast<int>(Rule::kMadeUp) + 1;
 std::string_view NameOf(Rule rule);  // "answer_lost"
 std::string_view TextOf(Rule rule);  // what it asks for, in one sentence
 
--- a/src/lab/run.cpp
+++ b/src/lab/run.cpp
@@ -57,6 +57,9 @@
       moved_(machine.scheduler()) {
   witnesses_.Add(polite_);
   polite_.Add(judge_);
+  if (!setup_.history) return;
+  history_.emplace(MakeFacts(experiment_, script_, setup_.subject, begins_at_), setup_.history);
+  polite_.Add(*history_);
 }
 
 Run::~Run() = default;
@@ -119,7 +122,9 @@
   }
   site_.End();
   Note();
-  verdict_ = judge_.Finish(machine_.Now());
+  const Micros ended_at = machine_.Now();
+  verdict_ = judge_.Finish(ended_at);
+  if (history_) history_->End(ended_at);
   phase_ = Phase::kOver;
 }
 
--- a/src/lab/run.h
+++ b/src/lab/run.h
@@ -5,12 +5,14 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "io/machine.h"
 #include "lab/clients.h"
 #include "lab/experiment.h"
+#include "lab/history_file.h"
 #include "lab/judge.h"
 #include "lab/rude.h"
 #include "lab/script.h"
@@ -43,6 +45,7 @@
     std::string node_host;            // nodes and discovery listen there, at any port
     std::vector<std::string> listen;  // of the balancers
     Micros start_within = 2 * kSecond;
+    HistoryWriter::Take history = {};  // takes its lines; empty: nobody wants them
   };
   struct Progress {
     Phase phase = Phase::kPreparing;
@@ -101,6 +104,7 @@
   Witnesses witnesses_;
   std::unique_ptr<Arrivals> arrivals_;
   Judge judge_;
+  std::optional<HistoryWriter> history_;
   WithoutRude polite_;  // what the judge hears: queries of clients that keep the protocol
   Clients clients_;
   Site site_;
--- a/src/lab/told.cpp
+++ b/src/lab/told.cpp
@@ -24,7 +24,21 @@
 void ToldBook::BalancerUp(int balancer, Micros at) {
   Balancer& one = Grown(balancers_, balancer);
   one = Balancer();
-  one.asked_at = at;
+  one.asked_at = one.up_at = at;
+}
+
+void ToldBook::ByHand(int balancer, int node, bool out, Micros at) {
+  Micros& since = Grown(Grown(out_since_, balancer), node);
+  since = !out ? 0 : since == 0 ? at : since;  // saying it again starts no new grace
+}
+
+bool ToldBook::NeverNamed(int balancer, int node, Micros at) const {
+  const Balancer* one = lab::Find(balancers_, balancer);
+  if (one == nullptr || at < one->up_at + kRounding) return false;
+  const auto named = [](const Node& known) { return known.named; };
+  if (std::none_of(one->nodes.begin(), one->nodes.end(), named)) return false;  // nobody told what it knows
+  const Node* known = lab::Find(one->nodes, node);
+  return known == nullptr || !known->named;
 }
 
 void ToldBook::Listed(int node, meadowslip::BackendState state, Micros started_at, Micros at) {
@@ -35,6 +49,7 @@
 
 void ToldBook::Heard(int balancer, int node, meadowslip::BackendState state, Micros started_at, Micros at) {
   Node& one = Grown(Grown(balancers_, balancer).nodes, node);
+  one.named = true;
   if (!Ends(state)) {
     one.ended_since = kNever;
   } else if (one.ended_since == kNever) {
@@ -59,6 +74,13 @@
 }
 
 Micros ToldBook::EndedSince(int balancer, int node, Micros at) const {
+  const std::vector<Micros>* out = lab::Find(out_since_, balancer);
+  const Micros* by_hand = out == nullptr ? nullptr : lab::Find(*out, node);
+  const Micros listed = ListedEndSince(balancer, node, at);
+  return by_hand == nullptr || *by_hand == 0 ? listed : std::min(*by_hand, listed);
+}
+
+Micros ToldBook::ListedEndSince(int balancer, int node, Micros at) const {
   const Node* heard = Find(balancer, node);
   const Micros since = heard == nullptr ? kNever : heard->ended_since;
   const Deemed deemed = DeemedTold(balancer, node, at);
--- a/src/lab/told.h
+++ b/src/lab/told.h
@@ -21,9 +21,13 @@
   void Heard(int balancer, int node, meadowslip::BackendState state, Micros started_at, Micros at);
   void Asked(int balancer, Micros at, bool watching);
   void AskFailed(int balancer, Micros at);
+  // An operator took the node out there, or put it back; that outlives the process.
+  void ByHand(int balancer, int node, bool out, Micros at);
 
   // Since when the balancer knows at `at` that the node is to get nothing new; kNever: it does not.
   Micros EndedSince(int balancer, int node, Micros at) const;
+  // It got a list since its start, long enough before, and none that it got has named the node.
+  bool NeverNamed(int balancer, int node, Micros at) const;
   // Since when it knows at `at` of the start at `started_at`, or a later one; kNever: it does not.
   Micros StartSince(int balancer, int node, Micros started_at, Micros at) const;
 
@@ -34,18 +38,21 @@
     Micros started_at = 0;
   };
   struct Node {  // to one balancer
+    bool named = false;
     Micros ended_since = kNever;
     Micros started_at = 0;
     Micros started_since = kNever;
   };
   struct Balancer {
     std::vector<Node> nodes;
+    Micros up_at = 0;
     Micros asked_at = 0;  // or watched until
     bool watching = false;
     bool failed = false;  // so did its last call
   };
 
   bool Ends(meadowslip::BackendState state) const;
+  Micros ListedEndSince(int balancer, int node, Micros at) const;
   const Node* Find(int balancer, int node) const;
   // What the balancer is deemed told of, without a word from discovery: all that was listed by `until`; what
   // was listed at L counts from the later of L and `asked_at`, plus `wait`.
@@ -61,6 +68,7 @@
   bool gone_binds_;
   std::vector<std::deque<Change>> listed_;  // by node, the latest ones
   std::vector<Balancer> balancers_;
+  std::vector<std::vector<Micros>> out_since_;  // by balancer and node: by hand; 0: it is not
 };
 
 }  // namespace burlfall::lab
--- a/src/lab/witness.h
+++ b/src/lab/witness.h
@@ -98,6 +98,8 @@
   virtual void HandshakeAt(int node, int balancer, Micros at) = 0;
   // `pushed_by`: of kFell, the work in the window by balancer.
   virtual void NodeChanged(int node, NodeChange change, Micros at, const std::vector<double>& pushed_by) = 0;
+  // Something came from a balancer that no client had made: a probe, or a query with a name of its own.
+  virtual void Strange(int /*node*/, int /*balancer*/, Micros /*at*/) {}
 
   // Discovery has come to list this, whoever it tells. Of changes alone: what it listed at the run's start
   // counts as known.
@@ -110,6 +112,9 @@
   virtual void Asked(int balancer, Micros at, bool watching) = 0;
   virtual void AskFailed(int /*balancer*/, Micros /*at*/) {}  // the call, or the watch, failed
 
+  // An operator got a yes from the balancer: the node is out by hand there, or back.
+  virtual void ByHand(int /*balancer*/, int /*node*/, bool /*out*/, Micros /*at*/) {}
+
   virtual void BalancerUp(int balancer, Micros at) = 0;
   // Its process has ended; planned: it had got SIGTERM from the lab, even where SIGKILL had to follow.
   virtual void BalancerDown(int balancer, Micros at, bool planned) = 0;
--- a/src/lab/witnesses.h
+++ b/src/lab/witnesses.h
@@ -30,6 +30,7 @@
   void NodeChanged(int node, NodeChange change, Micros at, const std::vector<double>& pushed_by) override {
     Tell(&Witness::NodeChanged, node, change, at, pushed_by);
   }
+  void Strange(int node, int balancer, Micros at) override { Tell(&Witness::Strange, node, balancer, at); }
   void Listed(int node, meadowslip::BackendState state, Micros started_at, Micros at) override {
     Tell(&Witness::Listed, node, state, started_at, at);
   }
@@ -40,6 +41,9 @@
     Tell(&Witness::Asked, balancer, at, watching);
   }
   void AskFailed(int balancer, Micros at) override { Tell(&Witness::AskFailed, balancer, at); }
+  void ByHand(int balancer, int node, bool out, Micros at) override {
+    Tell(&Witness::ByHand, balancer, node, out, at);
+  }
   void BalancerUp(int balancer, Micros at) override { Tell(&Witness::BalancerUp, balancer, at); }
   void BalancerDown(int balancer, Micros at, bool planned) override {
     Tell(&Witness::BalancerDown, balancer, at, planned);
--- /dev/null
+++ b/src/world/virtual_machine.cpp
@@ -0,0 +1,330 @@
+#include "world/virtual_machine.h"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <system_error>
+#include <utility>
+
+namespace burlfall::world {
+namespace {
+
+constexpr size_t kBuffer = 64 * 1024;  // of a connection, each way
+constexpr size_t kPiece = 16 * 1024;
+constexpr size_t kBacklog = 4096;
+constexpr const char* kDiskFull = "No space left on device";
+
+Address At(const std::string& text) { return *ReadAddress(text); }
+
+}  // namespace
+
+void VirtualScheduler::Poll(Micros until) {
+  if (until == kNever) {
+    stuck_ = true;
+    return Halt();
+  }
+  now_ = std::max(now_ + 1, until);
+}
+
+// ---- Connections -----------------------------------------------------------------------------------------
+
+class VirtualStream;
+
+// Of its two sides the first is that of whoever connected.
+struct Connection {
+  struct Side {
+    VirtualStream* end = nullptr;  // while it is there
+    std::string come;              // to be read
+    bool finished = false;         // it sends no more
+    bool closed = false;
+    bool reset = false;    // by the other side
+    bool blocked = false;  // wants to write, and found no room
+    Address at;
+  };
+  std::array<Side, 2> sides;
+  Stream::State state = Stream::State::kUp;
+
+  void Tell(size_t side);
+  // The side's machine ends it; the other hears an end, or a reset where bytes were left unread.
+  void End(size_t side, bool by_reset) {
+    Side &own = sides[side], &other = sides[1 - side];
+    if (std::exchange(own.closed, true)) return;
+    own.finished = true;
+    if (by_reset || !own.come.empty()) other.reset = true;
+    own.come.clear();
+    Tell(1 - side);
+  }
+};
+
+class VirtualStream final : public Stream {
+ public:
+  VirtualStream(VirtualMachine& machine, std::shared_ptr<Connection> of, size_t side)
+      : Stream(machine.scheduler()), machine_(machine), of_(std::move(of)), side_(side) {
+    own().end = this;
+    ++machine_.open;
+  }
+  // Where the other machine's line was full, asks again as a system does: after 1 s, then each time after
+  // twice as long.
+  void AskAgain(World& world) {
+    asking_ = Ask(world);
+    asking_.Start();
+  }
+  ~VirtualStream() override {
+    Close();
+    own().end = nullptr;
+  }
+
+  State Opened() override { return of_->state; }
+
+  Io Read(std::string& into) override {
+    if (own().closed || of_->state == State::kFailed) return Io::kBroken;
+    std::string& come = own().come;
+    if (!come.empty()) {
+      const size_t n = std::min(come.size(), kPiece);
+      into.append(come, 0, n);
+      come.erase(0, n);
+      if (std::exchange(other().blocked, false)) of_->Tell(1 - side_);
+      return Io::kSome;
+    }
+    if (own().reset) return Io::kBroken;
+    return other().finished ? Io::kClosed : Io::kLater;
+  }
+
+  Io Write(std::string_view& bytes) override {
+    if (own().finished || own().reset || of_->state == State::kFailed) return Io::kBroken;
+    if (of_->state == State::kOpening) return Io::kLater;
+    if (other().closed) {  // this machine takes them, the other one answers with a reset
+      bytes = {};
+      own().reset = true;
+      Notify();
+      return Io::kSome;
+    }
+    const size_t n = std::min(bytes.size(), kBuffer - std::min(kBuffer, other().come.size()));
+    other().come.append(bytes.substr(0, n));
+    bytes.remove_prefix(n);
+    if (n > 0) of_->Tell(1 - side_);
+    own().blocked = !bytes.empty();
+    return bytes.empty() ? Io::kSome : Io::kLater;
+  }
+
+  bool Quiet() override {
+    return !own().closed && !own().reset && own().come.empty() && !other().finished &&
+           of_->state == State::kUp;
+  }
+  void Finish() override {
+    own().finished = true;
+    of_->Tell(1 - side_);
+  }
+  void Reset() override { Shut(true); }
+  void Close() override { Shut(false); }
+  Address Peer() const override { return of_->sides[1 - side_].at; }
+  Address Local() const override { return of_->sides[side_].at; }
+
+ private:
+  Connection::Side& own() { return of_->sides[side_]; }
+  Connection::Side& other() { return of_->sides[1 - side_]; }
+  void Shut(bool by_reset) {
+    if (own().closed) return;
+    --machine_.open;
+    of_->End(side_, by_reset);
+  }
+
+  Task<> Ask(World& world);
+
+  VirtualMachine& machine_;
+  std::shared_ptr<Connection> of_;
+  const size_t side_;
+  Task<> asking_;
+};
+
+void Connection::Tell(size_t side) {
+  if (sides[side].end != nullptr) sides[side].end->Notify();
+}
+
+class VirtualListener final : public Listener {
+ public:
+  VirtualListener(World& world, VirtualMachine& machine, Address at)
+      : Listener(machine.scheduler()), world_(world), machine_(machine), at_(std::move(at)) {
+    if (!world_.listeners.emplace(at_.text, this).second) {
+      throw std::system_error(std::make_error_code(std::errc::address_in_use), "can't listen on " + at_.text);
+    }
+    ++machine_.open;
+  }
+  ~VirtualListener() override {
+    --machine_.open;
+    world_.listeners.erase(at_.text);
+    for (const auto& one : waiting_) one->End(1, true);
+  }
+
+  Accepted Accept(std::unique_ptr<Stream>& into) override {
+    if (waiting_.empty()) return Accepted::kNone;
+    if (machine_.open >= machine_.descriptors) return Accepted::kNoRoom;
+    into = std::make_unique<VirtualStream>(machine_, std::move(waiting_.front()), 1);
+    waiting_.pop_front();
+    return Accepted::kOne;
+  }
+  Address Local() const override { return at_; }
+  void Backlog(int most) override { backlog_ = static_cast<size_t>(most); }
+
+  // False where the line is full: it then never comes up.
+  bool Take(const std::shared_ptr<Connection>& one) {
+    if (waiting_.size() > backlog_) return false;
+    waiting_.push_back(one);
+    Notify();
+    return true;
+  }
+
+ private:
+  World& world_;
+  VirtualMachine& machine_;
+  const Address at_;
+  size_t backlog_ = kBacklog;
+  std::deque<std::shared_ptr<Connection>> waiting_;
+};
+
+Task<> VirtualStream::Ask(World& world) {
+  Event pause(world.scheduler);
+  for (Micros wait = kSecond; of_->state == State::kOpening && !own().closed; wait *= 2) {
+    co_await pause.Wait(world.scheduler.Now() + wait);
+    const auto listener = world.listeners.find(of_->sides[1].at.text);
+    if (listener == world.listeners.end()) {
+      of_->state = State::kFailed;
+    } else if (!own().closed && listener->second->Take(of_)) {
+      of_->state = State::kUp;
+    }
+  }
+  Notify();
+}
+
+namespace {
+
+class VirtualNetwork final : public Network {
+ public:
+  VirtualNetwork(World& world, VirtualMachine& machine) : world_(world), machine_(machine) {}
+
+  std::unique_ptr<Stream> Connect(const Address& to, NoConnection& why) override {
+    if (machine_.open >= machine_.descriptors) {
+      why = NoConnection::kNoRoom;
+      return nullptr;
+    }
+    auto one = std::make_shared<Connection>();
+    one->sides[0].at = At("127.0.0.1:" + std::to_string(NextPort()));
+    one->sides[1].at = to;
+    const auto listener = world_.listeners.find(to.text);
+    one->state = listener == world_.listeners.end() ? Stream::State::kFailed
+                 : listener->second->Take(one)      ? Stream::State::kUp
+                                                    : Stream::State::kOpening;
+    auto stream = std::make_unique<VirtualStream>(machine_, one, 0);
+    one->state == Stream::State::kOpening ? stream->AskAgain(world_) : stream->Notify();
+    return stream;
+  }
+  std::unique_ptr<Listener> Listen(const Address& at) override {
+    Address where = at;
+    if (PortOf(at) == 0) where = At(at.text.substr(0, at.text.rfind(':') + 1) + std::to_string(NextPort()));
+    return std::make_unique<VirtualListener>(world_, machine_, std::move(where));
+  }
+  std::unique_ptr<Listener> Adopt(int descriptor) override {
+    throw std::system_error(std::make_error_code(std::errc::bad_file_descriptor),
+                            "descriptor " + std::to_string(descriptor));
+  }
+  std::unique_ptr<Channel> Meet(const std::string&) override { return nullptr; }
+  std::unique_ptr<ChannelListener> Await(const std::string&, std::string& why) override {
+    why = "there are none in this world";
+    return nullptr;
+  }
+  std::unique_ptr<Writable> Datagrams(const Address&) override { return nullptr; }
+
+ private:
+  int NextPort() {
+    world_.last_port = world_.last_port == 65535 ? 20001 : world_.last_port + 1;
+    return world_.last_port;
+  }
+
+  World& world_;
+  VirtualMachine& machine_;
+};
+
+// ---- Files -----------------------------------------------------------------------------------------------
+
+class VirtualFile final : public Writable {
+ public:
+  VirtualFile(const VirtualMachine& machine, std::string& text) : machine_(machine), text_(text) {}
+  Io Write(std::string_view& bytes) override {
+    if (machine_.disk_full) return Io::kBroken;
+    text_.append(std::exchange(bytes, {}));
+    return Io::kSome;
+  }
+  std::string Why() const override { return kDiskFull; }
+  void AwaitRoom(Micros) override {}
+
+ private:
+  const VirtualMachine& machine_;
+  std::string& text_;
+};
+
+class VirtualFiles final : public Files {
+ public:
+  VirtualFiles(World& world, VirtualMachine& machine) : files_(world.files), machine_(machine) {}
+
+  std::optional<std::string> Read(const std::string& path) override {
+    const auto it = files_.find(path);
+    if (it == files_.end()) return {};
+    return it->second;
+  }
+  std::unique_ptr<Writable> Write(const std::string& path, Open how, std::string& why) override {
+    const bool there = files_.contains(path);
+    if (machine_.disk_full || (there && how == Open::kNew)) {
+      why = there ? "File exists" : kDiskFull;
+      return nullptr;
+    }
+    return std::make_unique<VirtualFile>(machine_, files_[path]);
+  }
+  bool Replace(const std::string& path, std::string_view text, std::string& why) override {
+    why = kDiskFull;
+    if (machine_.disk_full) return false;
+    files_[path] = text;
+    return true;
+  }
+  bool MakeFolder(const std::string&) override { return !machine_.disk_full; }
+  bool Usable(const std::string&, std::string&) override { return true; }
+  std::vector<std::string> List(const std::string& folder) override {
+    std::vector<std::string> names;
+    for (const auto& [path, text] : files_) {
+      if (path.starts_with(folder + "/")) names.push_back(path.substr(folder.size() + 1));
+    }
+    return names;
+  }
+  bool Remove(const std::string& path) override { return files_.erase(path) > 0; }
+
+ private:
+  std::map<std::string, std::string>& files_;
+  VirtualMachine& machine_;
+};
+
+class Said final : public Writable {
+ public:
+  explicit Said(std::string& to) : to_(to) {}
+  Io Write(std::string_view& bytes) override {
+    to_.append(std::exchange(bytes, {}));
+    return Io::kSome;
+  }
+  std::string Why() const override { return ""; }
+  void AwaitRoom(Micros) override {}
+
+ private:
+  std::string& to_;
+};
+
+}  // namespace
+
+VirtualMachine::VirtualMachine(World& world, size_t most)
+    : descriptors(most),
+      world_(world),
+      network_(std::make_unique<VirtualNetwork>(world, *this)),
+      files_(std::make_unique<VirtualFiles>(world, *this)) {}
+
+VirtualMachine::~VirtualMachine() = default;
+
+std::unique_ptr<Writable> VirtualMachine::StandardError() { return std::make_unique<Said>(said); }
+
+}  // namespace burlfall::world
