Fixed: a keyed query could be written to a second node after the window of the first

Ruled out: the module, which sends none past the window (Rules::Bounds). Lines: HttpUpstream::Attempt looked at the drain again once a link was up, and at nothing else.

The dispatcher says by when an attempt must be whole on its way, the upstream gives up then: it has not run. That holds for a body that is written slowly too.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -61,6 +61,8 @@
   Attempt& attempt = query.attempts[static_cast<size_t>(result.attempt)];
   attempt.task = Task<>();
   attempt.heard = true;
+  attempt.never_ran = result.answer.outcome == Outcome::kFull || result.answer.outcome == Outcome::kMoot ||
+                      result.answer.outcome == Outcome::kConnectFailed;
   --query.out;
   Count(result.answer.outcome);
   if (result.answer.outcome == Outcome::kOk && !query.closed) {
@@ -268,12 +270,24 @@
   }
   ++counters_.sent;
   if (figures_) figures_->Add(query.asked.labels.series, Figure::kAttempts);
-  attempt.task = Try(id, n, backend, until);
+  attempt.task = Try(id, n, backend, until, WholeBy(query));
   attempt.task.Start();
 }
 
-Task<> Dispatcher::Try(RequestId id, int n, BackendId backend, Micros until) {
-  ServerAnswer answer = co_await upstream_.Exchange(backend, *queries_.at(id).asked.payload, until);
+// Servers drop repeats of a keyed query for so long after an attempt that may have run. The module sends none
+// later; this guards the time that a link takes to come up, and a body to be written.
+Micros Dispatcher::WholeBy(const Query& query) const {
+  const int cls = query.asked.request.request_class;
+  if (cls < 0 || static_cast<size_t>(cls) >= settings_.classes.size()) return kNever;
+  const meadowslip::RequestClass& c = settings_.classes[static_cast<size_t>(cls)];
+  if (c.idempotency != meadowslip::Idempotency::kKeyed) return kNever;
+  const auto last = query.attempts.end() - 1;  // the one that is about to be made
+  const auto ran = std::find_if(query.attempts.begin(), last, [](const Attempt& a) { return !a.never_ran; });
+  return ran == last ? kNever : ran->sent_at + c.dedup_window;
+}
+
+Task<> Dispatcher::Try(RequestId id, int n, BackendId backend, Micros until, Micros whole_by) {
+  ServerAnswer answer = co_await upstream_.Exchange(backend, *queries_.at(id).asked.payload, until, whole_by);
   queries_.at(id).attempts[static_cast<size_t>(n)].ended = true;
   Post(id, n, std::move(answer));
 }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -59,8 +59,9 @@
   struct Attempt {
     meadowslip::BackendId backend = 0;
     Micros sent_at = 0;
-    bool ended = false;  // its outcome is known, though the module may not have heard yet
-    bool heard = false;  // it has
+    bool ended = false;      // its outcome is known, though the module may not have heard yet
+    bool heard = false;      // it has
+    bool never_ran = false;  // by its outcome
     Task<> task;
   };
   struct Query {
@@ -87,7 +88,9 @@
   class Settler;
 
   Task<> Turns();
-  Task<> Try(meadowslip::RequestId id, int attempt, meadowslip::BackendId backend, Micros until);
+  Task<> Try(meadowslip::RequestId id, int attempt, meadowslip::BackendId backend, Micros until,
+             Micros whole_by);
+  Micros WholeBy(const Query& query) const;
   void Post(meadowslip::RequestId id, int attempt, ServerAnswer answer);
   void Deliver(Result result);
   void TellStream(meadowslip::RequestId id, int attempt);
--- a/src/upstream/http_upstream.cpp
+++ b/src/upstream/http_upstream.cpp
@@ -123,8 +123,9 @@
       counters_(counters),
       large_(large) {}
 
-Task<ServerAnswer> HttpUpstream::Exchange(meadowslip::BackendId to, const Payload& query, Micros until) {
-  return Attempt(*hosts_.Find(to), static_cast<const HttpPayload&>(query), until);
+Task<ServerAnswer> HttpUpstream::Exchange(meadowslip::BackendId to, const Payload& query, Micros until,
+                                          Micros whole_by) {
+  return Attempt(*hosts_.Find(to), static_cast<const HttpPayload&>(query), until, std::min(until, whole_by));
 }
 
 // The rest of a query, as it comes: kDone where its last byte was written, kBroken where the server took no
@@ -151,7 +152,8 @@
   }
 }
 
-Task<ServerAnswer> HttpUpstream::Attempt(const Host& host, const HttpPayload& query, Micros until) {
+Task<ServerAnswer> HttpUpstream::Attempt(const Host& host, const HttpPayload& query, Micros until,
+                                         Micros whole_by) {
   // The query is there as long as any attempt of it.
   const std::shared_ptr<BodySource> more = query.more;
   const bool no_body = query.method == "HEAD";
@@ -170,21 +172,19 @@
     ++counters_.server_links;
     link = std::make_unique<Link>(*this, std::move(stream), host.era);
     Micros comes_up_by = scheduler_.Now() + connect_timeout_;
-    bool connected = co_await Connected(*link->stream, std::min(until, comes_up_by));
-    if (!connected) {
-      // A query that ran out of time first says nothing about the host.
-      if (until < comes_up_by && scheduler_.Now() >= until) answer.outcome = Outcome::kMoot;
-      co_return answer;
-    }
+    bool connected = co_await Connected(*link->stream, std::min(whole_by, comes_up_by));
+    // A query that ran out of time first says nothing about the host.
+    if (whole_by < comes_up_by && scheduler_.Now() >= whole_by) answer.outcome = Outcome::kMoot;
+    if (!connected || answer.outcome == Outcome::kMoot) co_return answer;
     // Guards the drain rule: the host may have been withdrawn while the connection came up.
     if (host.state != BackendState::kReady) co_return answer;
   }
   answer.outcome = Outcome::kConnectFailed;  // until the last byte is written it can't have run
   std::string_view rest = bytes;  // at once as a rule; only what finds no room costs a coroutine of its own
   bool whole = link->stream->Write(rest) == Io::kSome;
-  if (!rest.empty()) whole = co_await WriteAll(*link->stream, rest, until);
+  if (!rest.empty()) whole = co_await WriteAll(*link->stream, rest, whole_by);
   if (whole && query.body.size() > kMostBody && (!more || more->length)) {
-    whole = co_await WriteAll(*link->stream, query.body, more ? kNever : until);
+    whole = co_await WriteAll(*link->stream, query.body, more ? kNever : whole_by);
   }
   if (!whole) co_return answer;
   if (more) {
--- a/src/upstream/http_upstream.h
+++ b/src/upstream/http_upstream.h
@@ -27,7 +27,8 @@
                LinkBudget& budget, Counters& counters, bool large);
 
   bool Knows(meadowslip::BackendId id) const override { return hosts_.Find(id) != nullptr; }
-  Task<ServerAnswer> Exchange(meadowslip::BackendId to, const Payload& query, Micros until) override;
+  Task<ServerAnswer> Exchange(meadowslip::BackendId to, const Payload& query, Micros until,
+                              Micros whole_by) override;
 
   // Closes what has been idle for long, and all that is idle where its host takes nothing new.
   void Retire();
@@ -50,7 +51,7 @@
   using Idle = std::vector<std::unique_ptr<Link>>;
   class Download;
 
-  Task<ServerAnswer> Attempt(const Host& host, const HttpPayload& query, Micros until);
+  Task<ServerAnswer> Attempt(const Host& host, const HttpPayload& query, Micros until, Micros whole_by);
   Task<BodySource::Next> SendRest(Stream& to, std::shared_ptr<BodySource> more);
   std::unique_ptr<Link> Reuse(const Host& host);
   bool Usable(const Host& host, const Link& link) const;
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -22,8 +22,10 @@
   // Whether the server can be named at all; one that can't gets nothing.
   virtual bool Knows(meadowslip::BackendId id) const = 0;
   // Sends the query to a server that it knows, and waits for the answer until then. Never sends it a second
-  // time. Destroying the task ends the attempt, and closes its link.
-  virtual Task<ServerAnswer> Exchange(meadowslip::BackendId to, const Payload& query, Micros until) = 0;
+  // time. What is not whole on its way by `whole_by` never will be: the server does not have it. Destroying
+  // the task ends the attempt, and closes its link.
+  virtual Task<ServerAnswer> Exchange(meadowslip::BackendId to, const Payload& query, Micros until,
+                                      Micros whole_by) = 0;
 };
 
 }  // namespace burlfall
--- /dev/null
+++ b/tests/drills/drills_test.cpp
@@ -0,0 +1,109 @@
+// Drills: what the program depends on fails, on purpose, round the real process. Shortages are limits on the
+// process that the drill started, and on no other. docs/on-call.md tells what staff see of each.
+#define CATCH_CONFIG_MAIN
+#include <netinet/tcp.h>
+#include <sys/resource.h>
+#include <sys/un.h>
+
+#include <cstring>
+#include <thread>
+
+#include "handover/estate.h"
+#include "service/operators.h"
+
+namespace burlfall {
+namespace {
+
+using std::chrono::milliseconds;
+
+double Seconds(std::chrono::steady_clock::time_point since) {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now() - since).count();
+}
+
+// Until it holds, for kPatience at most.
+template <typename Holds>
+bool Until(Holds holds) {
+  for (int i = 0; i < kPatience * 100; ++i) {
+    if (holds()) return true;
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  return holds();
+}
+
+std::string Text(const std::string& path) {
+  std::ifstream file(path);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+// Seconds of processor time that it has used.
+double Used(const Program& program) {
+  const std::string text = Text("/proc/" + std::to_string(program.pid()) + "/stat");
+  std::istringstream fields(text.substr(text.rfind(')') + 2));
+  std::string skipped;
+  for (int i = 0; i < 11; ++i) fields >> skipped;
+  double user = 0, system = 0;
+  fields >> user >> system;
+  return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+void Limit(const Program& program, __rlimit_resource what, rlim_t to) {
+  rlimit limit{};
+  REQUIRE(prlimit(program.pid(), what, nullptr, &limit) == 0);
+  limit.rlim_cur = to;
+  REQUIRE(prlimit(program.pid(), what, &limit, nullptr) == 0);
+}
+
+void StandStill(const Program& program) {
+  program.Signal(SIGSTOP);
+  siginfo_t info{};
+  REQUIRE(waitid(P_PID, static_cast<id_t>(program.pid()), &info, WSTOPPED | WNOWAIT) == 0);
+}
+
+std::string Numbered(std::string name, int i) { return name.append(std::to_string(i)); }
+
+std::string Two(const Peer& one, const Peer& two) {
+  return Entry("s-1", one.port) + "," + Entry("s-2", two.port);
+}
+
+std::string Counters(uint16_t port) {
+  Link link = Link::To(port);
+  link.Write("GET /counters HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  return link.Read();
+}
+
+// One query to each client, answered by whichever server it goes to; how many went to the first.
+int ServeAll(std::vector<Link>& clients, Peer& one, Peer& two) {
+  int first = 0;
+  for (size_t i = 0; i < clients.size(); ++i) {
+    Peer& called = Peer::Called(one, two);
+    first += &called == &one;
+    Link link = called.Accept();
+    CHECK_FALSE(link.Read().empty());
+    link.Write(Ok("fine", "Connection: close\r\n"));
+  }
+  for (Link& client : clients) CHECK(client.Read().ends_with("fine"));
+  return first;
+}
+
+}  // namespace
+
+TEST_CASE("servers: a keyed query is not written again once its window is over while a link comes up") {
+  Peer one, two;
+  Program program(ConfigText({.known = Two(one, two), .connect_timeout = 4000000, .window = 600000}));
+  Link client = Link::To(program.port);
+  client.Write(Post("pay", "t", "x"));
+  Peer& first = Peer::Called(one, two);
+  Peer& other = &first == &one ? two : one;
+  Link link = first.Accept();
+  CHECK(link.Read().ends_with("x"));
+  // The other one's line is full: a link to it comes up only when its machine is asked again, a second later.
+  listen(other.fd(), 0);
+  Link fill = Link::To(other.port);
+  link.Write("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+  std::this_thread::sleep_for(milliseconds(300));
+  Link filled = other.Accept();
+  CHECK_FALSE(client.Read().starts_with("HTTP/1.1 200"));
+  if (Readable(other.fd(), 1500)) CHECK(other.Accept().Read().empty());
+}
+
+}  // namespace burlfall
--- a/tests/stories/peers.h
+++ b/tests/stories/peers.h
@@ -158,13 +158,18 @@
   int keepalive = 10000000;
   std::string admin = {};  // empty: no second address
   int memory_mb = 192;
+  int open_cap = 20000;
+  int deadline = 10000000;
+  int window = 60000000;  // in which servers drop repeats of `pay`
+  int must_ask = 10000000;
 };
 
 // The class `look` is safe, `pay` is keyed and `open` is unsafe.
 inline std::string ConfigText(const Setup& setup) {
-  auto one = [](const std::string& name, const std::string& effect) {
-    return R"({"Name":")" + name + R"(","Effect":")" + effect +
-           R"(","Group":"all","DedupWindow":60000000,"Slo":8000000,"HardLimit":10000000,"Worth":1.0})";
+  auto one = [&](const std::string& name, const std::string& effect) {
+    return R"({"Name":")" + name + R"(","Effect":")" + effect + R"(","Group":"all","DedupWindow":)" +
+           std::to_string(setup.window) + R"(,"Slo":)" + std::to_string(setup.deadline / 10 * 8) +
+           R"(,"HardLimit":)" + std::to_string(setup.deadline) + R"(,"Worth":1.0})";
   };
   return R"({"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:)" + std::to_string(setup.discovery) +
          "\"" + (setup.admin.empty() ? "" : ",\"admin\":\"" + setup.admin + "\"") +
@@ -176,7 +181,9 @@
          R"(],"Realms":[],"MembershipMode":"subscribe","Caps":{"Cancel":true,"SendCap":5,)" +
          R"("RetryAfter":true,)" + R"("MaxRetryAfter":1500000,"ConnectTimeout":)" +
          std::to_string(setup.connect_timeout) + R"(,"Keepalive":)" + std::to_string(setup.keepalive) +
-         R"(},"Rules":{"AnswerSlack":20000,"DrainGrace":750000,"MustAskIn":10000000}}})";
+         R"(,"OpenCap":)" + std::to_string(setup.open_cap) +
+         R"(},"Rules":{"AnswerSlack":20000,"DrainGrace":750000,"MustAskIn":)" +
+         std::to_string(setup.must_ask) + "}}}";
 }
 
 // A file for as long as the test runs.
