Fixed: where all client links waited, queries behind them waited for their deadlines

With 96 descriptors and no node left, 80 client links each waited for a query that may stay for its aim, and nothing more was accepted. Ruled out: the module, which never heard of them; a lost wake-up, since the log shows 80 links open of 64. Lines: HttpFront::AcceptWaiting stops where links run out, and Dispatcher::Take refused only beyond the settings' OpenCap, 20,000.

Queries at hand are now at most seven eighths of the links that clients may have; those that come meanwhile are refused as they come.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -16,6 +16,7 @@
       upstream_(upstream),
       follow_(std::move(follow)),
       counters_(counters),
+      most_held_(static_cast<size_t>(settings.open_cap)),
       turn_(scheduler),
       balancer_(settings, seed) {}
 
@@ -189,10 +190,10 @@
 RequestId Dispatcher::Take(Asked asked) {
   RequestId id = ++last_id_;
   ++counters_.taken;
-  if (queries_.size() >= static_cast<size_t>(settings_.open_cap)) {
+  if (queries_.size() >= std::min(most_held_, static_cast<size_t>(settings_.open_cap))) {
     ++counters_.throttled;
     if (figures_) figures_->Add(asked.labels.series, Figure::kThrottled);
-    asked.asker->Throttle(0);
+    asked.asker->Throttle(ComeBack());
     return id;
   }
   asked.request.id = id;
@@ -207,6 +208,13 @@
   return id;
 }
 
+// Of those that were refused before the module heard of them: by then some of those at hand are over.
+Micros Dispatcher::ComeBack() const {
+  Micros aim = 0;
+  for (const meadowslip::RequestClass& c : settings_.classes) aim = std::max(aim, c.aim);
+  return settings_.retry_after ? std::min(settings_.max_retry_after, aim) : 0;
+}
+
 void Dispatcher::Went(RequestId id) {
   const Query* query = Known(id);
   if (query == nullptr || query->closed || query->attempts.empty()) return;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -31,6 +31,8 @@
   // Either may be nullptr: it is off. Both must outlive the dispatcher's use.
   void Observe(Figures* figures, Capture* capture);
   void Start();
+  // No more queries than these at a time, nor than the settings allow; further ones are refused as they come.
+  void HoldAtMost(size_t queries) { most_held_ = queries; }
 
   void OnList(const meadowslip::BackendList& list);
   // The asker hears of its end at any time from here on, also before this returns.
@@ -97,6 +99,7 @@
   void FireTimers();
   void Bury();
   Query* Known(meadowslip::RequestId id);
+  Micros ComeBack() const;
   Asker* Close(meadowslip::RequestId id, Query& query, Figure how);
   // `query` is nullptr where the choice is about none that is known.
   void Chose(Record::Choice did, meadowslip::RequestId id, const Query* query,
@@ -111,6 +114,7 @@
   Counters& counters_;
   Figures* figures_ = nullptr;
   Capture* capture_ = nullptr;
+  size_t most_held_;
   Event turn_;
   Micros wakes_at_ = kNever;
   uint64_t last_id_ = 0;
--- a/src/front/http_front.cpp
+++ b/src/front/http_front.cpp
@@ -19,6 +19,7 @@
 constexpr Micros kIdleWhereCrowded = 2 * kSecond;  // no link need stay for longer without a query
 constexpr size_t kShedAtOnce = 64;
 constexpr size_t kServersPart = 4;  // of what links may use, at least, is left to server links
+constexpr size_t kSparePart = 8;    // of clients' links, that wait for no answer
 constexpr size_t kLeastHeld = 4096;
 constexpr size_t kHeldPart = 8;  // of the memory, by whole bodies; and as much by pieces of those that stream
 
@@ -220,6 +221,15 @@
   }
 }
 
+// Of the links that clients may have an eighth stays for those that come meanwhile, to be told when to come
+// back. Guards the queries behind them: they would wait in the machine's line until their clients give up,
+// since each link that is there waits for an answer.
+size_t HttpFront::most_queries() const {
+  const size_t most = parts_.budget.most();
+  const size_t links = parts_.config.in_service ? most - most / kServersPart : most;
+  return links - std::max<size_t>(1, links / kSparePart);
+}
+
 // All of them together stay within an eighth of the memory, however many links there are.
 size_t HttpFront::most_held() const {
   const size_t links = static_cast<size_t>(parts_.config.sockets) / 2;
--- a/src/front/http_front.h
+++ b/src/front/http_front.h
@@ -68,6 +68,8 @@
   // Called when the last query that was owed has been answered while it closes.
   void OnNothingOwed(std::function<void()> told) { nothing_owed_ = std::move(told); }
   uint16_t port() const;
+  // That may be at hand at a time.
+  size_t most_queries() const;
 
   size_t open() const override { return unasked_.size() + clients_.size(); }
   bool MakeRoom(size_t wanted) override;
--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -87,6 +87,7 @@
 
 void Program::Allow() {
   budget_.Allow(descriptors(), other_.descriptors + (control_ ? Calls(descriptors()) + 1 : 0));
+  dispatcher_.HoldAtMost(front_.most_queries());
 }
 
 // ---- The start -------------------------------------------------------------------------------------------
--- a/tests/drills/drills_test.cpp
+++ b/tests/drills/drills_test.cpp
@@ -106,4 +106,23 @@
   if (Readable(other.fd(), 1500)) CHECK(other.Accept().Read().empty());
 }
 
+TEST_CASE("clients: one query more than may be held is refused at once, with word when to come back") {
+  Peer server;
+  Program program(ConfigText({.known = Entry("s-1", server.port), .open_cap = 1}));
+  Link held = Link::To(program.port), refused = Link::To(program.port);
+  held.Write(Post("open", "t1", "x"));
+  Link link = server.Accept();
+  link.Read();
+  refused.Write(Get("t2"));
+  const std::string answer = refused.Read();
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(answer.find("Retry-After: ") != std::string::npos);
+  link.Write(Ok("fine"));
+  CHECK(held.Read().ends_with("fine"));
+  held.Write(Get("t3"));
+  link.Read();
+  link.Write(Ok("room"));
+  CHECK(held.Read().ends_with("room"));
+}
+
 }  // namespace burlfall
--- a/tests/histories/recorded_test.cpp
+++ b/tests/histories/recorded_test.cpp
@@ -49,7 +49,7 @@
     if (entry.path().extension() == ".toml") files.push_back(entry.path());
   }
   std::sort(files.begin(), files.end());
-  EXPECT_GE(files.size(), 6u);
+  EXPECT_GE(files.size(), 7u);
   for (const fs::path& file : files) {
     SCOPED_TRACE(file.string());
     const std::string text = Text(file);
