Fixed: what an upgrade's other process passes on could end this one, or leak descriptors

Seen: a descriptor that is a file, passed as a link, ended the process (epoll_ctl: EPERM, thrown through the scheduler); two in one message left one open for good, since the control buffer's padding holds a second. Ruled out: the message's sum, which is about its bytes alone. Lines: RealChannel::Receive took whatever came, and RealStream's constructor threw.

Only a connection over the network is taken, made not to block; all else is closed and refused by name. A stream that can't be watched is one for which there is no room, at accept and at connect too. A door that found no descriptor for an heir's call looks again: no notice tells. Before: the drill ends with the process; after: descriptors as before, and it serves.

--- a/src/handover/handover.cpp
+++ b/src/handover/handover.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr Micros kClaimPatience = 1500 * kMs;  // for the whole estate
+constexpr Micros kLookAgain = 200 * kMs;       // for an heir whose call found no descriptor here
 constexpr Micros kDoorPatience = 3 * kSecond;  // for an heir to open the door
 constexpr size_t kMostUnsent = kMostEstate / kMostPiece + 1024;
 
@@ -75,7 +76,7 @@
   while (true) {
     std::unique_ptr<Channel> channel = listener_->Accept();
     if (!channel) {
-      co_await listener_->Wait();
+      co_await listener_->Wait(machine_.Now() + kLookAgain);  // no notice tells when there is room again
       continue;
     }
     // One at a time. An heir that has the door is asked itself; one that came no further makes room.
--- a/src/io/process.cpp
+++ b/src/io/process.cpp
@@ -199,6 +199,7 @@
   try {
     output_ = StreamOver(scheduler, std::move(output.read));
     error_ = StreamOver(scheduler, std::move(error.read));
+    if (!output_ || !error_) throw std::system_error(errno, std::generic_category(), "epoll_ctl");
     scheduler.Watch(pidfd_.get(), *this);
   } catch (...) {
     Kill(SIGKILL);
--- a/src/io/real_channel.cpp
+++ b/src/io/real_channel.cpp
@@ -10,6 +10,7 @@
 #include <cstring>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "io/real_network.h"
 
@@ -39,6 +40,18 @@
   return at;
 }
 
+// A connection over the network, and one that never blocks from here on: whoever sent it may have sent
+// anything.
+bool IsConnection(int fd) {
+  const auto is = [fd](int what, auto... wanted) {
+    int value = -1;
+    socklen_t length = sizeof value;
+    return getsockopt(fd, SOL_SOCKET, what, &value, &length) == 0 && (... || (value == wanted));
+  };
+  return is(SO_DOMAIN, AF_INET, AF_INET6) && is(SO_TYPE, SOCK_STREAM) && is(SO_ACCEPTCONN, 0) &&
+         fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK) == 0;
+}
+
 class RealChannel final : public Channel {
  public:
   RealChannel(RealScheduler& scheduler, Descriptor fd) : Channel(scheduler), fd_(std::move(fd)) {
@@ -94,12 +107,18 @@
     message.resize(n > 0 ? static_cast<size_t>(n) : 0);
     if (n == 0) return Io::kClosed;  // no message is empty
     if (n < 0) return errno == EAGAIN || errno == EWOULDBLOCK ? Io::kLater : Io::kBroken;
+    // Each is ours from here on, also one that nobody meant to send: there is padding that holds a second.
+    std::vector<Descriptor> came;
     for (cmsghdr* c = CMSG_FIRSTHDR(&header); c != nullptr; c = CMSG_NXTHDR(&header, c)) {
       if (c->cmsg_level != SOL_SOCKET || c->cmsg_type != SCM_RIGHTS) continue;
-      int fd = -1;
-      std::memcpy(&fd, CMSG_DATA(c), sizeof fd);
-      along = StreamOver(static_cast<RealScheduler&>(scheduler()), Descriptor(fd));
+      for (size_t at = CMSG_LEN(0); at + sizeof(int) <= c->cmsg_len; at += sizeof(int)) {
+        int fd = -1;
+        std::memcpy(&fd, reinterpret_cast<const char*>(c) + at, sizeof fd);
+        came.emplace_back(fd);
+      }
     }
+    if (came.size() == 1 && IsConnection(came.front().get()))
+      along = StreamOver(static_cast<RealScheduler&>(scheduler()), std::move(came.front()));
     return (header.msg_flags & MSG_TRUNC) != 0 ? Io::kBroken : Io::kSome;
   }
 
--- a/src/io/real_machine.cpp
+++ b/src/io/real_machine.cpp
@@ -48,13 +48,15 @@
 
 Micros RealScheduler::Now() const { return offset_ + Read<std::chrono::steady_clock>(); }
 
-void RealScheduler::Watch(int fd, Signal& signal) {
+bool RealScheduler::TryWatch(int fd, Signal& signal) {
   epoll_event event{};
   event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
   event.data.ptr = &signal;
-  if (epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &event) != 0) {
-    throw std::system_error(errno, std::generic_category(), "epoll_ctl");
-  }
+  return epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &event) == 0;
+}
+
+void RealScheduler::Watch(int fd, Signal& signal) {
+  if (!TryWatch(fd, signal)) throw std::system_error(errno, std::generic_category(), "epoll_ctl");
 }
 
 void RealScheduler::Unwatch(int fd) { epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, fd, nullptr); }
--- a/src/io/real_machine.h
+++ b/src/io/real_machine.h
@@ -31,6 +31,7 @@
   Micros Now() const override;
   // Notifies the signal at each edge of the descriptor, until that is closed. Throws std::system_error.
   void Watch(int fd, Signal& signal);
+  bool TryWatch(int fd, Signal& signal);  // false where the system has no room for one more
   // No more notices of it. Closing does as much, unless another process holds the same thing.
   void Unwatch(int fd);
 
@@ -71,6 +72,7 @@
 std::unique_ptr<Writable> WriteToNobody();  // every write is kBroken
 
 // A connection over a descriptor that is a socket, or the end of a pipe that is read, and doesn't block.
+// Nullptr where the system has no room to watch it, or it can't be watched.
 std::unique_ptr<Stream> StreamOver(RealScheduler& scheduler, Descriptor fd);
 
 // The process's signals, which wait from here on instead of ending it.
--- a/src/io/real_network.cpp
+++ b/src/io/real_network.cpp
@@ -22,9 +22,7 @@
 
 class RealStream final : public Stream {
  public:
-  RealStream(RealScheduler& scheduler, Descriptor fd) : Stream(scheduler), fd_(std::move(fd)) {
-    scheduler.Watch(fd_.get(), *this);
-  }
+  RealStream(RealScheduler& scheduler, Descriptor fd) : Stream(scheduler), fd_(std::move(fd)) {}
 
   State Opened() override {
     int error = 0;
@@ -97,6 +95,12 @@
   Descriptor fd_;
 };
 
+// Nullptr where the system has no room to watch it. Guards the process, which that must not end.
+std::unique_ptr<RealStream> Watched(RealScheduler& scheduler, Descriptor fd) {
+  auto stream = std::make_unique<RealStream>(scheduler, std::move(fd));
+  return scheduler.TryWatch(stream->fd(), *stream) ? std::move(stream) : nullptr;
+}
+
 void NoDelay(int fd) {
   int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -127,8 +131,8 @@
       if (!fd && (errno == EINTR || errno == ECONNABORTED || errno == EPROTO)) continue;  // gone already
       if (!fd) return Accepted::kNoRoom;
       NoDelay(fd.get());
-      into = std::make_unique<RealStream>(static_cast<RealScheduler&>(scheduler()), std::move(fd));
-      return Accepted::kOne;
+      into = Watched(static_cast<RealScheduler&>(scheduler()), std::move(fd));
+      return into ? Accepted::kOne : Accepted::kNoRoom;
     }
   }
 
@@ -177,7 +181,8 @@
     if (fd) {
       NoDelay(fd.get());
       if (connect(fd.get(), to.get(), to.length) == 0 || errno == EINPROGRESS) {
-        return std::make_unique<RealStream>(scheduler_, std::move(fd));
+        why = NoConnection::kNoRoom;
+        return Watched(scheduler_, std::move(fd));
       }
     }
     const bool ours =
@@ -231,7 +236,7 @@
 int DescriptorOf(const Stream& stream) { return static_cast<const RealStream&>(stream).fd(); }
 
 std::unique_ptr<Stream> StreamOver(RealScheduler& scheduler, Descriptor fd) {
-  return std::make_unique<RealStream>(scheduler, std::move(fd));
+  return Watched(scheduler, std::move(fd));
 }
 
 }  // namespace burlfall
--- a/tests/drills/drills_test.cpp
+++ b/tests/drills/drills_test.cpp
@@ -108,6 +108,97 @@
   CHECK(ServeAll(clients, one, two) == 0);
 }
 
+TEST_CASE("upgrade: what comes over from the other process and is no connection is refused by name") {
+  Folder folder;
+  Peer door, server;
+  const World world = {.variables = {{"TMPDIR", folder.path}, {"PROXY_PASSED_SOCKET", "5"}},
+                       .passed = door.fd()};
+  Descriptor old(socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0));
+  sockaddr_un at{};
+  at.sun_family = AF_UNIX;
+  (folder.path + "/burlfall-n1.sock").copy(at.sun_path, sizeof at.sun_path - 1);
+  REQUIRE(bind(old.get(), reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+  REQUIRE(listen(old.get(), 4) == 0);
+  // The claim waits to be answered while the program starts.
+  Descriptor channel;
+  std::thread other([&] {
+    channel = Descriptor(accept4(old.get(), nullptr, nullptr, SOCK_CLOEXEC));
+    char bytes[65536];
+    if (recv(channel.get(), bytes, sizeof bytes, 0) <= 0) return;
+    send(channel.get(), "Nnot now", 8, MSG_NOSIGNAL);
+    channel = Descriptor();
+    channel = Descriptor(accept4(old.get(), nullptr, nullptr, SOCK_CLOEXEC));
+  });
+  Program refused(ConfigText({.known = Entry("s-1", server.port), .admin = "127.0.0.1:0"}), {"serve"},
+                  nullptr, world);
+  CHECK(refused.output.find("nothing taken over: not now") != std::string::npos);
+  refused.Wait(SIGKILL);
+  // And one that does take over.
+  std::filesystem::remove(folder.path + "/burlfall-n1.sock");
+  Descriptor again(socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0));
+  REQUIRE(bind(again.get(), reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+  REQUIRE(listen(again.get(), 4) == 0);
+  Descriptor heir;
+  std::thread before([&] {
+    heir = Descriptor(accept4(again.get(), nullptr, nullptr, SOCK_CLOEXEC));
+    char bytes[65536];
+    if (recv(heir.get(), bytes, sizeof bytes, 0) <= 0) return;
+    Estate estate;
+    HostRecord& host = estate.hosts.emplace_back();
+    host.id = 1;
+    host.name = "s-1";
+    host.address = "127.0.0.1:" + std::to_string(server.port);
+    host.listed = meadowslip::BackendState::kReady;
+    for (const std::string& piece : Pieces(std::move(estate))) {
+      send(heir.get(), piece.data(), piece.size(), MSG_NOSIGNAL);
+    }
+    while (recv(heir.get(), bytes, sizeof bytes, 0) > 0 && bytes[0] != 'S') {
+    }
+  });
+  Program next(ConfigText({.known = Entry("s-1", server.port), .admin = "127.0.0.1:0"}), {"serve"}, nullptr,
+               world);
+  before.join();
+  {
+    Descriptor gone(socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0));
+    connect(gone.get(), reinterpret_cast<sockaddr*>(&at), sizeof at);
+    shutdown(old.get(), SHUT_RDWR);
+    other.join();
+  }
+  REQUIRE(Call(next.admin, "GET", "/healthcheck") == 200);
+  const long usual = next.Descriptors();
+  const auto pass = [&](std::vector<int> descriptors) {
+    const std::string message = Pack('L', PassedLink{true, 0, ""});
+    iovec part{const_cast<char*>(message.data()), message.size()};
+    alignas(cmsghdr) char space[CMSG_SPACE(2 * sizeof(int))] = {};
+    msghdr header{};
+    header.msg_iov = &part;
+    header.msg_iovlen = 1;
+    header.msg_control = space;
+    header.msg_controllen = CMSG_SPACE(descriptors.size() * sizeof(int));
+    cmsghdr* rights = CMSG_FIRSTHDR(&header);
+    rights->cmsg_level = SOL_SOCKET;
+    rights->cmsg_type = SCM_RIGHTS;
+    rights->cmsg_len = CMSG_LEN(descriptors.size() * sizeof(int));
+    std::memcpy(CMSG_DATA(rights), descriptors.data(), descriptors.size() * sizeof(int));
+    REQUIRE(sendmsg(heir.get(), &header, MSG_NOSIGNAL) > 0);
+  };
+  Descriptor file(open("/dev/null", O_RDONLY | O_CLOEXEC));
+  TextFile plain("x");
+  Descriptor text(open(plain.path.c_str(), O_RDONLY | O_CLOEXEC));
+  for (int i = 0; i < 4; ++i) {
+    pass({text.get()});
+    pass({file.get()});
+    pass({text.get(), file.get()});
+    pass({old.get()});  // a socket, but no connection
+  }
+  REQUIRE(Call(next.admin, "GET", "/healthcheck") == 200);
+  CHECK(Until([&] { return next.Descriptors() <= usual; }));
+  Link client = Link::To(door.port);
+  CHECK(Served(client, server, "t").ends_with("fine"));
+  CHECK(next.Wait(SIGTERM) == 0);
+  CHECK(next.output.find("can't be read") != std::string::npos);
+}
+
 TEST_CASE("servers: a keyed query is not written again once its window is over while a link comes up") {
   Peer one, two;
   Program program(ConfigText({.known = Two(one, two), .connect_timeout = 4000000, .window = 600000}));
