Fixed: a node put back while the disk was full was out again after a restart

Seen: with no room for a file to grow the call back killed the process (SIGXFSZ), and a capture did so too; with that aside the call said yes, the file still said out, and the next process took the node out again. Ruled out: Replace(), which leaves the old file whole as it says. Lines: Program::PutBack dropped what KeepOut told it; serve ignored SIGPIPE alone.

The file is written as soon as it can be, out_file_written tells of it; SIGXFSZ is ignored, so that the write fails. A capture's disk trouble was told once in a process's life, now once a trouble.

--- a/src/observe/capture.cpp
+++ b/src/observe/capture.cpp
@@ -352,6 +352,7 @@
     DiskError(FileName(file_number_), file_->Why());
     return false;
   }
+  if (file_ && !pending_.empty()) disk_told_ = false;  // the next trouble is another one
   file_bytes_ += pending_.size();
   pending_.clear();
   return true;
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -106,9 +106,14 @@
     {"out_file_error",
      LogLevel::kError,
      "{file} can't be written: {why}",
-     "A call for a node could not be kept. A call out was then refused; a call back holds until the next "
-     "start.",
+     "A call for a node could not be kept. A call out was then refused; a call back holds, and is written as "
+     "soon as it can be: until `out_file_written` the node is out again after a restart.",
      {{{"file", kText, "its path"}, {"why", kText, "the system's word"}}}},
+    {"out_file_written",
+     LogLevel::kInfo,
+     "{file} is written again",
+     "The file of the nodes that are out says so again, after `out_file_error`.",
+     {{{"file", kText, "its path"}}}},
     {"taken_over",
      LogLevel::kInfo,
      "took over: {hosts} known nodes, {out} out by hand; {queries} queries stay with the process before",
@@ -219,7 +224,7 @@
      {{{"calls", kNumber, "how many failed in a row"}, {"after_ms", kNumber, "since the first of them"}}}},
     {"capture_disk_error",
      LogLevel::kError,
-     "capture: {file}: {why}; told once, then counted",
+     "capture: {file}: {why}; told once a trouble, then counted",
      "The capture can't write its file. It tries again every second, and counts further errors as "
      "`capture_errors`.",
      {{{"file", kText, "the file's path"}, {"why", kText, "the system's word"}}}},
--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -176,11 +176,20 @@
 bool Program::KeepOut(const std::vector<OutHost>& out) {
   const std::string path = OutPath(config_);
   std::string why;
-  if (path.empty() || machine_.files().Replace(path, WriteOutFile(out), why)) return true;
+  if (path.empty() || machine_.files().Replace(path, WriteOutFile(out), why)) return out_kept_ = true;
   log_.Tell<"out_file_error">(path, why);
   return false;
 }
 
+// A node was put back and the file could not say so: guards it from being out again after the next start.
+void Program::KeepOutLate() {
+  const std::string path = OutPath(config_);
+  std::string why;
+  if (out_kept_ || !machine_.files().Replace(path, WriteOutFile(hosts_.Out()), why)) return;
+  out_kept_ = true;
+  log_.Tell<"out_file_written">(path);
+}
+
 void Program::HostsChanged() {
   upstream_.Retire();
   dispatcher_.OnList(hosts_.AsItStands());
@@ -207,7 +216,7 @@
   if (!hosts_.IsOut(server)) return Verdict::kDone;
   std::vector<OutHost> out = hosts_.Out();
   std::erase_if(out, [&](const OutHost& h) { return h.name == server; });
-  KeepOut(out);  // a full disk must not keep a sound node out
+  out_kept_ = KeepOut(out);  // a full disk must not keep a sound node out
   const Micros now = machine_.Now();
   hosts_.PutBack(server, now);
   HostsChanged();
@@ -444,6 +453,7 @@
     upstream_.Retire();
     list_log_->Tell();
     TellDescriptors();
+    KeepOutLate();
   }
 }
 
--- a/src/serve/program.h
+++ b/src/serve/program.h
@@ -88,6 +88,7 @@
   Task<> Closing();
   void ReadOut();
   bool KeepOut(const std::vector<OutHost>& out);
+  void KeepOutLate();
   void HostsChanged();
   void Allow();
   void Take(const HostList* list, const std::string& why);
@@ -118,6 +119,7 @@
   Micros aside_since_ = 0;
   Use other_;  // of a hand-over
   bool descriptors_tight_ = false;
+  bool out_kept_ = true;  // the file says who is out
   Event moved_;
   Event sweep_;
   Task<> begin_;  // the tasks last: what they use must outlive them
--- a/src/serve/serve.cpp
+++ b/src/serve/serve.cpp
@@ -72,6 +72,7 @@
   RealMachine machine;
   ProcessSignals signals(machine.scheduler(), {SIGTERM, SIGINT, SIGUSR1, SIGHUP});
   signal(SIGPIPE, SIG_IGN);
+  signal(SIGXFSZ, SIG_IGN);  // a file that may not grow is a write that fails, and not the end
   const auto environment = [](const char* name) -> const char* { return std::getenv(name); };
   Config config = LoadConfig(environment, machine.files());
   const Properties properties = ReadProperties(path, machine.files());
--- a/tests/drills/drills_test.cpp
+++ b/tests/drills/drills_test.cpp
@@ -218,6 +218,82 @@
   if (Readable(other.fd(), 1500)) CHECK(other.Accept().Read().empty());
 }
 
+TEST_CASE("disk: a node that was put back while the disk was full is not out again after a restart") {
+  Folder folder;
+  Peer one;
+  const std::string config = ConfigText({.known = Entry("s-1", one.port), .admin = "127.0.0.1:0"});
+  const std::string kept = folder.path + "/burlfall-n1.out";
+  const World world = {.variables = {{"TMPDIR", folder.path}}};
+  {
+    Program program(config, {"serve"}, nullptr, world);
+    REQUIRE(Tell(program.admin, "/nodes/s-1/maint") == 200);
+    CHECK(Text(kept).find("s-1") != std::string::npos);
+    Limit(program, RLIMIT_FSIZE, 0);  // no file may grow
+    CHECK(Tell(program.admin, "/nodes/s-1/ready") == 200);
+    CHECK(Text(kept).find("s-1") != std::string::npos);
+    CHECK(Tell(program.admin, "/nodes/s-1/maint") == 500);
+    Limit(program, RLIMIT_FSIZE, RLIM_INFINITY);
+    CHECK(Until([&] { return Text(kept).find("s-1") == std::string::npos; }));
+    program.Wait(SIGKILL);
+  }
+  Program next(config, {"serve"}, nullptr, world);
+  CHECK(next.output.find("are out") == std::string::npos);
+  Link client = Link::To(next.port);
+  CHECK(Served(client, one, "t").ends_with("fine"));
+}
+
+TEST_CASE("disk: a file of nodes that was half written is not read, and none is in the way of the next") {
+  Folder folder;
+  Peer one;
+  const std::string config = ConfigText({.known = Entry("s-1", one.port), .admin = "127.0.0.1:0"});
+  const std::string kept = folder.path + "/burlfall-n1.out";
+  const World world = {.variables = {{"TMPDIR", folder.path}}};
+  std::ofstream(kept + ".new") << "burlfall-out 1\n17 s-";  // its process ended as it wrote
+  Program program(config, {"serve"}, nullptr, world);
+  CHECK(program.output.find("are out") == std::string::npos);
+  REQUIRE(Tell(program.admin, "/nodes/s-1/maint") == 200);
+  CHECK(Text(kept).ends_with("end 1\n"));
+}
+
+TEST_CASE("disk: captures that can't be written cost captures alone, and each trouble is told once") {
+  Folder folder;
+  Peer server;
+  TextFile properties("capture.dir = " + folder.path + "\n");
+  Program program(ConfigText({.known = Entry("s-1", server.port)}), {"serve", "--config", properties.path});
+  Link client = Link::To(program.port);
+  int n = 0;
+  const auto errors = [&] {
+    const std::string counters = Counters(program.port);
+    const size_t at = counters.find(" capture_errors=");
+    return at == std::string::npos ? 0 : std::stoi(counters.substr(at + 16));
+  };
+  const auto bytes = [&] {
+    uintmax_t all = 0;
+    for (const auto& file : std::filesystem::directory_iterator(folder.path)) all += file.file_size();
+    return all;
+  };
+  for (int trouble = 1; trouble <= 2; ++trouble) {
+    CHECK(Served(client, server, Numbered("t", ++n)).ends_with("fine"));
+    const uintmax_t before = bytes();
+    const int known = errors();
+    Limit(program, RLIMIT_FSIZE, 0);
+    CHECK(Until([&] {  // it tries again, and again there is no room
+      CHECK(Served(client, server, Numbered("t", ++n)).ends_with("fine"));
+      return errors() >= known + 2;
+    }));
+    Limit(program, RLIMIT_FSIZE, RLIM_INFINITY);
+    CHECK(Until([&] {
+      CHECK(Served(client, server, Numbered("t", ++n)).ends_with("fine"));
+      return bytes() > before;
+    }));
+  }
+  CHECK(program.Wait(SIGTERM) == 0);
+  size_t told = 0;
+  for (size_t at = 0; (at = program.output.find("burlfall: capture: ", at)) != std::string::npos; ++at)
+    ++told;
+  CHECK(told == 2);
+}
+
 TEST_CASE("clients: one query more than may be held is refused at once, with word when to come back") {
   Peer server;
   Program program(ConfigText({.known = Entry("s-1", server.port), .open_cap = 1}));
