Fixed: a body for which the system had no memory ended the process

Seen: six bodies of 2 MB and 8 MB of address space left: std::bad_alloc, and the process was gone with all queries at hand. Ruled out: the budget of bytes, which allowed them. Lines: ClientLink::HoldMore reserved without a look at whether it got it; WriteQuery reserved as much again for a body that it does not copy.

Where there is none the body flows through, as where the budget is used up. Before: the drill ends with the process; after: it serves, and all of it once there is room.

--- a/src/front/client_link.cpp
+++ b/src/front/client_link.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <cmath>
 #include <cstdio>
+#include <new>
 #include <optional>
 #include <utility>
 
@@ -168,8 +169,12 @@
   const size_t held = kMostBody + share_.held();
   const size_t wanted = parser_.length().value_or(held + kMostBody);
   if (!share_.Grow(wanted - held)) return false;
+  try {
+    if (parser_.length()) parser_.body().reserve(wanted);
+  } catch (const std::bad_alloc&) {  // what the budget allows the system may not have: the body then flows
+    return false;
+  }
   parser_.Hold(wanted);
-  if (parser_.length()) parser_.body().reserve(wanted);
   return true;
 }
 
--- a/src/upstream/http_upstream.cpp
+++ b/src/upstream/http_upstream.cpp
@@ -28,7 +28,7 @@
 
 std::string WriteQuery(const HttpPayload& query, Micros patience) {
   std::string out;
-  out.reserve(512 + query.body.size());
+  out.reserve(512 + (query.body.size() <= kMostBody ? query.body.size() : 0));
   out.append(query.method).append(" ").append(query.target).append(" HTTP/1.1\r\n");
   AppendEndToEnd(out, query, platform::kExpiresIn);
   AppendHeader(out, platform::kExpiresIn, std::to_string(patience) + "u");
--- a/tests/drills/drills_test.cpp
+++ b/tests/drills/drills_test.cpp
@@ -313,4 +313,50 @@
   CHECK(held.Read().ends_with("room"));
 }
 
+TEST_CASE("memory: bodies for which there is none flow through, or are refused, and the process goes on") {
+  Peer server;
+  Folder folder;
+  Program program(ConfigText({.known = Entry("s-1", server.port), .admin = "127.0.0.1:0", .memory_mb = 192}),
+                  {"serve"}, nullptr, {.variables = {{"TMPDIR", folder.path}}});
+  Link small = Link::To(program.port);
+  CHECK(Served(small, server, "t0").ends_with("fine"));
+  std::istringstream pages(Text("/proc/" + std::to_string(program.pid()) + "/statm"));
+  rlim_t size = 0;
+  pages >> size;
+  Limit(program, RLIMIT_AS, size * static_cast<rlim_t>(sysconf(_SC_PAGESIZE)) + (rlim_t{8} << 20));
+  constexpr int kBodies = 6;
+  constexpr size_t kBody = 2 << 20;
+  std::vector<std::thread> clients;
+  std::array<std::string, kBodies> answers;
+  for (int i = 0; i < kBodies; ++i) {
+    clients.emplace_back([&, i] {
+      Descriptor fd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+      sockaddr_in at = Loopback(program.port);
+      if (connect(fd.get(), reinterpret_cast<sockaddr*>(&at), sizeof at) != 0) return;
+      Link link(std::move(fd));
+      link.TryWrite(Post("open", Numbered("b", i), std::string(kBody, 'x')));
+      answers[static_cast<size_t>(i)] = link.Read();
+    });
+  }
+  std::thread serve([&] {
+    while (Readable(server.fd(), 2500)) {
+      Link link = server.Accept();
+      if (link.Read().size() >= kBody) link.TryWrite(Ok("whole", "Connection: close\r\n"));
+    }
+  });
+  for (std::thread& client : clients) client.join();
+  serve.join();
+  int served = 0;
+  for (const std::string& answer : answers) served += answer.ends_with("whole");
+  CHECK(served >= 1);
+  Limit(program, RLIMIT_AS, RLIM_INFINITY);
+  if (served < 1) {
+    program.Wait(SIGTERM);
+    FAIL(program.output);
+  }
+  Link after = Link::To(program.port);
+  CHECK(Served(after, server, "t1").ends_with("fine"));
+  CHECK(program.Wait(SIGTERM) == 0);
+}
+
 }  // namespace burlfall
