An attempt and a large answer hold their host, however long they take

Seen by reading: HttpUpstream::Attempt and its Download kept a reference to a Host that HostGroup::Forget may erase once it has been gone for an hour and 10,000 are known. An attempt ends within the hour that a client may ask for; a large answer that flows slowly has no such end. Hosts are shared by whoever uses them. Ruled out: idle links, which go with the list that ends their host.

--- a/src/membership/host_group.cpp
+++ b/src/membership/host_group.cpp
@@ -21,9 +21,9 @@
 
 }  // namespace
 
-const Host* HostGroup::Find(meadowslip::BackendId id) const {
+std::shared_ptr<const Host> HostGroup::Hold(meadowslip::BackendId id) const {
   auto it = hosts_.find(id);
-  return it == hosts_.end() ? nullptr : it->second.get();
+  return it == hosts_.end() ? nullptr : it->second;
 }
 
 std::string_view HostGroup::NameOf(meadowslip::BackendId id) const {
@@ -43,7 +43,7 @@
   if (host == nullptr) {
     uint32_t id = Hash(name);
     while (hosts_.contains(id)) ++id;
-    auto fresh = std::make_unique<Host>();
+    auto fresh = std::make_shared<Host>();
     fresh->id = id;
     fresh->name = name;
     host = fresh.get();
@@ -196,7 +196,7 @@
     if (!address || !known || r.name.empty() || fresh.hosts_.contains(r.id) || fresh.Names(r.name)) {
       return false;
     }
-    auto host = std::make_unique<Host>();
+    auto host = std::make_shared<Host>();
     host->id = host->entry.id = r.id;
     host->name = r.name;
     host->address = *address;
--- a/src/membership/host_group.h
+++ b/src/membership/host_group.h
@@ -95,9 +95,10 @@
   void LeaveCold(bool leave, Micros now);
   // The group as it stands, for the module; no list says it.
   meadowslip::BackendList AsItStands() const;
-  // A reference holds until the host has been gone for an hour, and then as long as no more than kMostKnown
-  // are known: beyond that those that went first are forgotten. One that is out is not.
-  const Host* Find(meadowslip::BackendId id) const;
+  // Once a host has been gone for an hour it is known as long as no more than kMostKnown are: beyond that
+  // those that went first are forgotten. One that is out is not. What outlasts that holds the host itself.
+  const Host* Find(meadowslip::BackendId id) const { return Hold(id).get(); }
+  std::shared_ptr<const Host> Hold(meadowslip::BackendId id) const;
   size_t Ready() const;                                    // how many are
   const HostChanges& changes() const { return changes_; }  // since they were forgotten
   void ForgetChanges() { changes_ = HostChanges(); }
@@ -115,7 +116,7 @@
   void Count(Host& host);
 
   const meadowslip::Settings& settings_;
-  std::unordered_map<meadowslip::BackendId, std::unique_ptr<Host>> hosts_;
+  std::unordered_map<meadowslip::BackendId, std::shared_ptr<Host>> hosts_;
   std::unordered_map<std::string, Host*> by_name_;
   uint64_t version_ = 0;
   Micros cold_since_ = kNever;  // hosts that were started after it are another process's
--- a/src/upstream/http_upstream.cpp
+++ b/src/upstream/http_upstream.cpp
@@ -67,10 +67,10 @@
 // The rest of an answer, straight from its server's link: what is not taken here is not read there.
 class HttpUpstream::Download final : public BodySource {
  public:
-  Download(HttpUpstream& upstream, const Host& host, std::unique_ptr<Link> link, HttpParser parser,
-           std::string in, bool keep_alive)
+  Download(HttpUpstream& upstream, std::shared_ptr<const Host> host, std::unique_ptr<Link> link,
+           HttpParser parser, std::string in, bool keep_alive)
       : upstream_(upstream),
-        host_(host),
+        host_(std::move(host)),
         link_(std::move(link)),
         parser_(std::move(parser)),
         in_(std::move(in)),
@@ -87,7 +87,7 @@
       }
       if (parsed_ == Parsed::kDone) {
         over_ = Next::kDone;
-        if (keep_alive_ && in_.empty()) upstream_.Keep(host_, std::move(link_));
+        if (keep_alive_ && in_.empty()) upstream_.Keep(*host_, std::move(link_));
       } else if (parsed_ != Parsed::kMore) {
         over_ = Next::kBroken;
       } else {
@@ -103,7 +103,7 @@
 
  private:
   HttpUpstream& upstream_;
-  const Host& host_;
+  const std::shared_ptr<const Host> host_;  // an answer may take longer than its host is known
   std::unique_ptr<Link> link_;
   HttpParser parser_;
   std::string in_;
@@ -125,7 +125,7 @@
 
 Task<ServerAnswer> HttpUpstream::Exchange(meadowslip::BackendId to, const Payload& query, Micros until,
                                           Micros whole_by) {
-  return Attempt(*hosts_.Find(to), static_cast<const HttpPayload&>(query), until, std::min(until, whole_by));
+  return Attempt(hosts_.Hold(to), static_cast<const HttpPayload&>(query), until, std::min(until, whole_by));
 }
 
 // The rest of a query, as it comes: kDone where its last byte was written, kBroken where the server took no
@@ -152,8 +152,9 @@
   }
 }
 
-Task<ServerAnswer> HttpUpstream::Attempt(const Host& host, const HttpPayload& query, Micros until,
-                                         Micros whole_by) {
+Task<ServerAnswer> HttpUpstream::Attempt(std::shared_ptr<const Host> held, const HttpPayload& query,
+                                         Micros until, Micros whole_by) {
+  const Host& host = *held;
   // The query is there as long as any attempt of it.
   const std::shared_ptr<BodySource> more = query.more;
   const bool no_body = query.method == "HEAD";
@@ -230,7 +231,7 @@
     auto head = std::make_unique<HttpPayload>(parser.TakeHead());
     answer.outcome = ToOutcome(*head);
     if (answer.outcome != Outcome::kOk) co_return answer;
-    head->more = std::make_shared<Download>(*this, host, std::move(link), std::move(parser), std::move(in),
+    head->more = std::make_shared<Download>(*this, held, std::move(link), std::move(parser), std::move(in),
                                             head->keep_alive);
     answer.payload = std::move(head);
     co_return answer;
--- a/src/upstream/http_upstream.h
+++ b/src/upstream/http_upstream.h
@@ -51,7 +51,8 @@
   using Idle = std::vector<std::unique_ptr<Link>>;
   class Download;
 
-  Task<ServerAnswer> Attempt(const Host& host, const HttpPayload& query, Micros until, Micros whole_by);
+  Task<ServerAnswer> Attempt(std::shared_ptr<const Host> held, const HttpPayload& query, Micros until,
+                             Micros whole_by);
   Task<BodySource::Next> SendRest(Stream& to, std::shared_ptr<BodySource> more);
   std::unique_ptr<Link> Reuse(const Host& host);
   bool Usable(const Host& host, const Link& link) const;
