--- a/src/codec/http.cpp
+++ b/src/codec/http.cpp
@@ -66,12 +66,10 @@
 }
 
 void AppendEndToEnd(std::string& out, const HttpMessage& message, std::string_view but) {
-  const std::string* connection = message.Find("Connection");
   for (const Header& h : message.headers) {
     bool one_link = std::any_of(kOneLink.begin(), kOneLink.end(),
                                 [&](std::string_view name) { return SameName(name, h.name); });
-    if (one_link || SameName(h.name, but) || (connection != nullptr && HasWord(*connection, h.name)))
-      continue;
+    if (one_link || SameName(h.name, but) || message.OfOneLink(h.name)) continue;
     AppendHeader(out, h.name, h.value);
   }
 }
@@ -117,6 +115,14 @@
   return nullptr;
 }
 
+// There may be several such lines (RFC 9110, 5.3). Guards a link that ends after this message: a query
+// written to it would be reset.
+bool HttpMessage::OfOneLink(std::string_view word) const {
+  return std::any_of(headers.begin(), headers.end(), [&](const Header& h) {
+    return SameName(h.name, "Connection") && HasWord(h.value, word);
+  });
+}
+
 Parsed HttpParser::Feed(std::string& buffer) {
   if (part_ == Part::kHead) {
     // A stray line break between requests is forgiven.
@@ -231,9 +237,8 @@
 
 // How the body ends. Two ways of saying it in one message are a smuggler's: bad.
 Parsed HttpParser::Framing() {
-  const std::string* connection = message_.Find("Connection");
-  std::string_view words = connection != nullptr ? std::string_view(*connection) : std::string_view();
-  message_.keep_alive = message_.http_1_0 ? HasWord(words, "keep-alive") : !HasWord(words, "close");
+  message_.keep_alive =
+      !message_.OfOneLink("close") && (!message_.http_1_0 || message_.OfOneLink("keep-alive"));
   const std::string* expect = message_.Find("Expect");
   expects_ = kind_ == Kind::kRequest && expect != nullptr && SameName(*expect, "100-continue");
   const std::string* coding = message_.Find("Transfer-Encoding");
--- a/src/codec/http.h
+++ b/src/codec/http.h
@@ -36,6 +36,7 @@
   bool http_1_0 = false;  // of a request: its sender can't read chunks
 
   const std::string* Find(std::string_view name) const;  // nullptr: absent
+  bool OfOneLink(std::string_view word) const;           // some `Connection` line has it
 };
 
 struct HttpPayload final : Payload, HttpMessage {
--- a/src/membership/host_group.cpp
+++ b/src/membership/host_group.cpp
@@ -63,12 +63,15 @@
       Settle(*host);
     }
   }
-  for (const HostEntry& e : list.hosts) {
+  for (HostEntry e : list.hosts) {
     Host& host = Named(e.name);
-    if (e.address.length > 0 &&
-        (host.address.text != e.address.text || host.started_at != e.entry.started_at)) {
+    // Nothing has started later than now. Guards a node against being cold for as long as the clocks differ.
+    const Micros listed_start = e.entry.started_at;
+    if (listed_start > now)
+      e.entry.started_at = listed_start == host.started_at ? host.entry.started_at : now;
+    if (e.address.length > 0 && (host.address.text != e.address.text || host.started_at != listed_start)) {
       host.address = e.address;
-      host.started_at = e.entry.started_at;
+      host.started_at = listed_start;
       ++host.era;  // links to its earlier life are of no use
     }
     if (e.entry.state != BackendState::kGone) host.entry = e.entry;
--- a/src/membership/host_group.h
+++ b/src/membership/host_group.h
@@ -31,8 +31,8 @@
   Micros out_at = 0;
   Micros back_at = 0;  // when an operator last put it back: it may have been started anew until then
   Micros gone_at = kNever;
-  Micros started_at = 0;
-  uint64_t era = 0;  // counts its restarts and changes of address
+  Micros started_at = 0;  // by the list; `entry` has it no later than it was heard
+  uint64_t era = 0;       // counts its restarts and changes of address
   meadowslip::BackendState state_counted = meadowslip::BackendState::kGone;  // in the changes
   uint64_t era_counted = 0;
 };
@@ -74,7 +74,7 @@
 
   // Takes the list in at this time, and returns it as the module is to hear it: after this, so that both see
   // the same states.
-  meadowslip::BackendList Take(const HostList& list, Micros now = 0);
+  meadowslip::BackendList Take(const HostList& list, Micros now = kNever);
   // What an operator says goes before the list, until he puts the host back: it is draining meanwhile, and
   // keeps the list's word for later. False where no list ever named it. Both may be said again.
   bool TakeOut(std::string_view name, Micros now);
--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -7,7 +7,9 @@
 namespace burlfall {
 namespace {
 
-// After the word to end, connections still come for some time; they would be refused without a listener.
+// After the word to end, connections still come for up to 0.4 s; they would be refused without a listener. A
+// little longer does no harm where the platform waits: it does for the longest deadline and 0.7 s.
+constexpr Micros kStillCome = 400 * kMs;
 constexpr Micros kDrainFor = 800 * kMs;
 constexpr Micros kCloseFor = 300 * kMs;  // for links that owe nothing
 constexpr Micros kCloseStep = 20 * kMs;
@@ -26,6 +28,12 @@
 
 size_t Calls(size_t descriptors) { return std::clamp(descriptors / kCallsPart, kLeastCalls, kMostCalls); }
 
+Micros DrainFor(const meadowslip::Settings& settings) {
+  Micros longest = 0;
+  for (const meadowslip::RequestClass& c : settings.classes) longest = std::max(longest, c.deadline);
+  return std::min(kDrainFor, kStillCome + longest / 2);
+}
+
 // Several balancers may share the folder, by different names.
 std::string PathFor(const Config& config, const char* what) {
   std::string name = config.name;
@@ -129,7 +137,7 @@
 
 // From the list that the configuration came with.
 void Program::BeginAlone() {
-  hosts_.Take(config_.known);
+  hosts_.Take(config_.known, machine_.Now());
   list_log_.emplace(machine_.scheduler(), hosts_, log_);
   ReadOut();
 }
@@ -418,7 +426,7 @@
 }
 
 Task<> Program::Drained() {
-  const Micros until = machine_.Now() + kDrainFor;
+  const Micros until = machine_.Now() + DrainFor(config_.settings);
   while (phase_ == Phase::kDraining && machine_.Now() < until) co_await moved_.Wait(until);
   if (phase_ == Phase::kDraining) phase_ = Phase::kClosing;
 }
--- a/tests/drills/drills_test.cpp
+++ b/tests/drills/drills_test.cpp
@@ -359,4 +359,19 @@
   CHECK(program.Wait(SIGTERM) == 0);
 }
 
+TEST_CASE("restart: where deadlines are short the process has ended before the platform ends it") {
+  Peer server;
+  Program program(ConfigText({.known = Entry("s-1", server.port), .deadline = 50000}));
+  Link client = Link::To(program.port);
+  CHECK(Up(program.port) == 200);
+  client.Write("GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
+  client.Read();
+  const auto told = std::chrono::steady_clock::now();
+  program.Signal(SIGTERM);
+  CHECK(program.EndsUnread());
+  CHECK(Seconds(told) > 0.4);   // connections still come
+  CHECK(Seconds(told) < 0.75);  // the longest deadline and 0.7 s
+  CHECK(program.Wait() == 0);
+}
+
 }  // namespace burlfall
--- a/tests/service/host_group_test.cpp
+++ b/tests/service/host_group_test.cpp
@@ -123,6 +123,21 @@
             BackendState::kDraining);
 }
 
+// Of another clock than this machine's: a start is never later than when it was heard, and stands still then.
+TEST_F(Group, AStartInTheFutureIsOneThatWasHeardNow) {
+  const auto start = [&](Micros listed, Micros now, bool full = true) {
+    const BackendList told = hosts.Take(List(full, {{"a", BackendState::kReady}}, listed), now);
+    return told.entries.at(0).started_at;
+  };
+  EXPECT_EQ(start(3000, 1000), 1000);
+  EXPECT_EQ(start(3000, 2000), 1000);
+  EXPECT_EQ(start(3000, 2500, false), 1000);
+  EXPECT_EQ(hosts.AsItStands().entries.at(0).started_at, 1000);
+  EXPECT_EQ(start(3500, 2600), 2600);  // it was started anew
+  EXPECT_EQ(start(3500, 4000), 3500);  // the time has come
+  EXPECT_EQ(start(3800, 4000), 3800);
+}
+
 TEST(HostGroupMemory, IsBoundedAndKeepsThoseThatAreOutAndThoseThatAreThere) {
   meadowslip::Settings settings;
   HostGroup group(settings);
--- a/tests/service/http_parser_test.cpp
+++ b/tests/service/http_parser_test.cpp
@@ -120,6 +120,19 @@
                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Chunked(kLong, 70000) + "\r\n");
 }
 
+TEST(HttpParser, EveryConnectionLineCounts) {
+  HttpParser parser(Kind::kResponse);
+  std::string in =
+      "HTTP/1.1 200 OK\r\nConnection: X-Own\r\nX-Own: 1\r\nX-Hop: 2\r\nX-End: 3\r\n"
+      "connection: x-hop , Close\r\nContent-Length: 0\r\n\r\n";
+  ASSERT_EQ(parser.Feed(in), Parsed::kDone);
+  const HttpMessage message = parser.Take();
+  EXPECT_FALSE(message.keep_alive);
+  std::string out;
+  AppendEndToEnd(out, message);
+  EXPECT_EQ(out, "X-End: 3\r\n");
+}
+
 TEST(HttpParser, WhatIsWrongIsWrongInAnyPieces) {
   const std::string post = "POST /open HTTP/1.1\r\n";
   for (const std::string& bad :
