Nothing is sent in the middle of a turn that stood still, before what came is heard

Ruled out: the order in which events are told; epoll, which had all of them. Lines: a client's link that was stopped between its answer and its next read went on within the same resumption, and the scheduler had not listened; an epoll_wait that a stop had ended counted as heard, with nothing in it.

The scheduler says when it last listened, and the dispatcher sends nothing where that is half of the drain grace ago: such an attempt is moot, and the module goes on once it has heard.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -3,6 +3,11 @@
 #include <algorithm>
 
 namespace burlfall {
+namespace {
+
+constexpr Micros kLeastGrace = 200 * kMs;  // a turn takes some time, whatever the settings say
+
+}  // namespace
 
 using meadowslip::BackendId;
 using meadowslip::Outcome;
@@ -272,7 +277,12 @@
   ++query.out;
   Micros until = query.asked.request.give_up_at;
   if (timeout > 0) until = std::min(until, attempt.sent_at + timeout);
-  if (query.closed || !upstream_.Knows(backend) || n >= settings_.max_attempts || until <= attempt.sent_at) {
+  // Guards the drain rule where this process stood still in the middle of a turn: what discovery has told
+  // meanwhile is heard of before the module hears of this.
+  const bool unheard =
+      attempt.sent_at - scheduler_.heard_at() > std::max(settings_.drain_grace, kLeastGrace) / 2;
+  if (query.closed || unheard || !upstream_.Knows(backend) || n >= settings_.max_attempts ||
+      until <= attempt.sent_at) {
     attempt.ended = true;
     return Post(id, n, ServerAnswer());
   }
--- a/src/io/real_machine.cpp
+++ b/src/io/real_machine.cpp
@@ -79,6 +79,8 @@
     if (n < 0 && errno != EINTR) fine_ = false;  // a system that has no such call
   }
   if (!fine_ || wait <= 0) n = epoll_wait(epoll_.get(), events.data(), most, wait);
+  // A process that was stopped comes back with nothing heard, however much has come meanwhile.
+  if (n < 0 && errno == EINTR) n = epoll_wait(epoll_.get(), events.data(), most, 0);
   if (n < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
   // No coroutine runs in this loop, so no signal named by a later event can go away meanwhile. All that has
   // come is heard of before any of it is acted on, or what goes first would stand behind a crowd.
--- a/src/io/scheduler.cpp
+++ b/src/io/scheduler.cpp
@@ -21,6 +21,7 @@
   if (stopped_) return;
   Poll(!ready_.empty() ? 0 : timers_.empty() ? kNever : timers_.begin()->first);
   const Micros now = Now();
+  heard_at_ = now;
   while (!timers_.empty() && timers_.begin()->first <= now) timers_.begin()->second->Wake(false);
 }
 
--- a/src/io/scheduler.h
+++ b/src/io/scheduler.h
@@ -25,6 +25,8 @@
   virtual ~Scheduler() = default;
   // Unix time at the start plus what has passed since: it never steps.
   virtual Micros Now() const = 0;
+  // When it last listened to the outside: what has come since is not heard of yet.
+  Micros heard_at() const { return heard_at_; }
   void Run();  // until Stop()
   virtual void Stop() { stopped_ = true; }
 
@@ -41,6 +43,7 @@
   void Turn();
 
   bool stopped_ = false;
+  Micros heard_at_ = 0;
   Timers timers_;
   std::deque<Waiter*> ready_;
 };
--- a/src/world/virtual_machine.h
+++ b/src/world/virtual_machine.h
@@ -29,6 +29,7 @@
   void Stop() override {
     if (on_stop) on_stop();
   }
+  void StandStill(Micros span) { now_ += span; }  // in the middle of a turn
   void Halt() { Scheduler::Stop(); }
   bool stuck() const { return stuck_; }  // nothing was left that could ever happen
   std::function<void()> on_stop;
--- /dev/null
+++ b/tests/histories/stall_test.cpp
@@ -0,0 +1,80 @@
+// A process that stands still in the middle of a turn: what it would send then it sends only once it has
+// heard what came meanwhile.
+#include <gtest/gtest.h>
+
+#include "codec/payload.h"
+#include "dispatch/dispatcher.h"
+#include "world/virtual_machine.h"
+
+namespace burlfall {
+namespace {
+
+struct Nothing final : Payload {
+  bool Spent() const override { return false; }
+};
+
+struct Sent final : Upstream {
+  bool Knows(meadowslip::BackendId) const override { return true; }
+  Task<ServerAnswer> Exchange(meadowslip::BackendId to, const Payload&, Micros, Micros) override {
+    to_.push_back(to);
+    ServerAnswer answer;
+    answer.outcome = meadowslip::Outcome::kError;
+    co_return answer;
+  }
+  std::vector<meadowslip::BackendId> to_;
+};
+
+struct Patient final : Asker {
+  void Serve(const Payload&) override { ++told; }
+  void Throttle(Micros) override { ++told; }
+  void Fail() override { ++told; }
+  int told = 0;
+};
+
+TEST(StandsStill, NothingGoesToANodeThatWasDrainedMeanwhile) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    world::World world(1'700'000'000 * kSecond, seed);
+    meadowslip::Settings settings;
+    settings.classes = {
+        {.idempotency = meadowslip::Idempotency::kUnsafe, .aim = 5 * kSecond, .deadline = 10 * kSecond}};
+    settings.max_attempts = 3;
+    settings.drain_grace = 750 * kMs;
+    Counters counters;
+    Sent upstream;
+    Patient asker;
+    Dispatcher dispatcher(
+        world.scheduler, settings, seed, upstream, [] {}, counters);
+    dispatcher.OnList({meadowslip::ListKind::kFull, {{.id = 1}, {.id = 2}}});
+    dispatcher.Start();
+    const auto ask = [&] {
+      Asked query;
+      query.request.give_up_at = world.scheduler.Now() + 10 * kSecond;
+      query.payload = std::make_unique<Nothing>();
+      query.asker = &asker;
+      dispatcher.Take(std::move(query));
+    };
+    const auto story = [&]() -> Task<> {
+      Event pause(world.scheduler);
+      co_await pause.Wait(world.scheduler.Now() + kMs);
+      ask();
+      EXPECT_EQ(upstream.to_.size(), 1u);  // at once, as a rule
+      co_await pause.Wait(world.scheduler.Now() + kMs);
+      upstream.to_.clear();
+      world.scheduler.StandStill(kSecond);
+      ask();
+      EXPECT_TRUE(upstream.to_.empty());
+      dispatcher.OnList(
+          {meadowslip::ListKind::kChanges, {{.id = 1, .state = meadowslip::BackendState::kDraining}}});
+      co_await pause.Wait(world.scheduler.Now() + 20 * kMs);
+      for (meadowslip::BackendId to : upstream.to_) EXPECT_EQ(to, 2u) << seed;
+      EXPECT_EQ(asker.told, 2);
+      world.scheduler.Halt();
+    };
+    Task<> telling = story();
+    telling.Start();
+    world.scheduler.Run();
+  }
+}
+
+}  // namespace
+}  // namespace burlfall
