A history ends with its end; the story of 'lab judge' as people start it

Seen: history.jsonl of a real run was refused, 'something behind the end': discovery's watches end after the judge has spoken, as the balancers are stopped. Ruled out: the reader, the lines were there. The writer takes nothing after End(), as the judge has not heard it either. The story holds the verdict against result.json, with a crash on its line, and a file that is cut short.

--- a/src/lab/history_file.cpp
+++ b/src/lab/history_file.cpp
@@ -283,6 +283,7 @@
 
 // Times are from the run's begin: a person reads them so.
 void HistoryWriter::Say(const Line& line) {
+  if (over_) return;
   last_at_ = line.at;
   ++events_;
   Json json = {{"at", line.at - begins_at_}, {"event", line.event}};
@@ -290,7 +291,10 @@
   take_(json.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n");
 }
 
-void HistoryWriter::End(Micros at) { Say({at, "end", {{"events", events_}}}); }
+void HistoryWriter::End(Micros at) {
+  Say({at, "end", {{"events", events_}}});
+  over_ = true;
+}
 
 void HistoryWriter::Due(const Try& one) {
   Say({one.due,
--- a/src/lab/history_file.h
+++ b/src/lab/history_file.h
@@ -61,6 +61,7 @@
   const Take take_;
   Micros last_at_;
   uint64_t events_ = 0;
+  bool over_ = false;  // what is told from there on, as processes end, the judge has not heard either
 };
 
 // What is wrong with a text that is no history.
--- a/tests/lab/lab_command_test.cpp
+++ b/tests/lab/lab_command_test.cpp
@@ -328,6 +328,37 @@
   CHECK(Files(f.At("o"), "lost.txt") == 0);
 }
 
+TEST_CASE("a run's history is judged as the run was, and what is none is refused by its line") {
+  const Folder f;
+  REQUIRE(Lab(f, {"run", f.Tiny(1.5), "--history", "--rules-only", "--out", f.At("o")}).Wait() == 0);
+  std::string run;
+  for (const auto& entry : fs::recursive_directory_iterator(f.At("o"))) {
+    if (entry.path().filename() == "history.jsonl") run = entry.path().parent_path().string();
+  }
+  REQUIRE(!run.empty());
+  const std::string history = Read(run + "/history.jsonl");
+  Lab again(f, {"judge", run + "/history.jsonl", "--json"});
+  CHECK(again.Wait() == 0);
+  CHECK(nlohmann::ordered_json::parse(again.Out()) ==
+        nlohmann::ordered_json::parse(Read(run + "/result.json")));
+  // A balancer that ended by itself, on the line before the last.
+  const size_t end = history.rfind('\n', history.size() - 2) + 1;
+  auto last = nlohmann::ordered_json::parse(history.substr(end));
+  last["events"] = last["events"].get<int>() + 1;
+  const std::string crash =
+      R"({"at":)" + last["at"].dump() + R"(,"event":"down","balancer":0,"planned":false})" + "\n";
+  Lab broken(f, {"judge", f.File("broken.jsonl", history.substr(0, end) + crash + last.dump() + "\n")});
+  CHECK(broken.Wait() == 1);
+  const auto lines = std::count(history.begin(), history.end(), '\n');
+  CHECK(broken.Out().find("broken.jsonl:" + std::to_string(lines) + ": crashed broken at ") !=
+        std::string::npos);
+  Lab cut(f, {"judge", f.File("cut.jsonl", history.substr(0, history.size() - 1))});
+  CHECK(cut.Wait() == 2);
+  CHECK(cut.Err().find("cut.jsonl:" + std::to_string(lines) + ": a line that is cut short") !=
+        std::string::npos);
+  CHECK(Lab(f, {"judge", f.At("none.jsonl")}).Wait() == 2);
+}
+
 TEST_CASE("two labs side by side, each with two runs, take nothing from each other") {
   const Folder f;
   const std::string tiny = f.Tiny(1);
