A process that takes over writes who is out by hand, where the file does not say so

Seen in the reading of the change: a call back that the old process could not write stays unwritten where that process ends after a hand-over, and the new one took the file for kept. Ruled out: the new one's list, which comes over whole. Lines: Program::TakeOver, which never looked at the file. It reads it, and writes it once it can; the story of an upgrade without the file waits for that.

--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -159,6 +159,10 @@
     why = "a state of another format";
   }
   if (!why.empty()) log_.Tell<"state_refused">(why);
+  // The process before may have found no room to say who is out.
+  const std::string path = OutPath(config_);
+  const std::optional<std::string> text = path.empty() ? std::nullopt : machine_.files().Read(path);
+  out_kept_ = path.empty() || (text ? *text == WriteOutFile(hosts_.Out()) : hosts_.Out().empty());
   return true;
 }
 
--- a/tests/service/upgrade_test.cpp
+++ b/tests/service/upgrade_test.cpp
@@ -118,6 +118,7 @@
   Program next(config, {"serve"}, nullptr, platform.world());
   CHECK(next.output.find("1 out by hand") != std::string::npos);
   CHECK(Call(next.admin, "GET", "/healthcheck") == 200);
+  CHECK(Says(next, "burlfall-n1.out is written again"));
   CHECK(Up(platform.door.port) == 503);
   REQUIRE(Tell(next.admin, "/healthcheck/ok") == 200);
   CHECK(Up(platform.door.port) == 200);
