--- a/src/lab/history_file.cpp
+++ b/src/lab/history_file.cpp
@@ -14,7 +14,9 @@
 #include "config/platform_config.h"
 #include "config/settings.h"
 #include "lab/judge.h"
+#include "lab/quiet_witness.h"
 #include "lab/text.h"
+#include "lab/witnesses.h"
 
 namespace burlfall::lab {
 namespace {
@@ -608,9 +610,8 @@
 namespace {
 
 // Where in a history each event stands, for those who look for what broke a rule.
-class Index final : public Witness {
+class Index final : public QuietWitness {
  public:
-  explicit Index(Judge& judge) : judge_(judge) {}
   void Before(std::size_t line) { line_ = line; }
 
   std::size_t Find(const Facts& facts, const Finding& finding) const {
@@ -627,55 +628,17 @@
     return last;
   }
 
-  void Due(const Try& one) override {
-    Note({one.due, one.trace, one.balancer});
-    judge_.Due(one);
-  }
-  void Written(TraceId trace, Micros at) override {
-    Note({at, trace});
-    judge_.Written(trace, at);
-  }
-  void Ended(TraceId trace, Micros at, End how, int status, const Mark& mark, Micros refused_for) override {
-    Note({at, trace});
-    judge_.Ended(trace, at, how, status, mark, refused_for);
-  }
-  void SentLate(Micros late_by) override { judge_.SentLate(late_by); }
+  void Due(const Try& one) override { Note({one.due, one.trace, one.balancer}); }
+  void Written(TraceId trace, Micros at) override { Note({at, trace}); }
+  void Ended(TraceId trace, Micros at, End, int, const Mark&, Micros) override { Note({at, trace}); }
   void Arrived(const AttemptSeen& seen) override {
     Note({seen.at, seen.trace, seen.balancer, seen.node, seen.first_byte_at});
-    judge_.Arrived(seen);
   }
-  void Ran(uint64_t attempt, Micros at, bool effect) override { judge_.Ran(attempt, at, effect); }
-  void AnsweredAtNode(uint64_t attempt, Micros at, AtNode how) override {
-    judge_.AnsweredAtNode(attempt, at, how);
-  }
-  void LinkEnded(uint64_t attempt, Micros at) override { judge_.LinkEnded(attempt, at); }
-  void HandshakeAt(int node, int balancer, Micros at) override { judge_.HandshakeAt(node, balancer, at); }
-  void NodeChanged(int node, NodeChange change, Micros at, const std::vector<double>& by) override {
+  void NodeChanged(int node, NodeChange, Micros at, const std::vector<double>&) override {
     Note({at, 0, -1, node});
-    judge_.NodeChanged(node, change, at, by);
-  }
-  void Strange(int node, int balancer, Micros at) override {
-    Note({at, 0, balancer, node});
-    judge_.Strange(node, balancer, at);
-  }
-  void Listed(int node, BackendState state, Micros started_at, Micros at) override {
-    judge_.Listed(node, state, started_at, at);
-  }
-  void Told(int balancer, int node, BackendState state, Micros started_at, Micros at) override {
-    judge_.Told(balancer, node, state, started_at, at);
-  }
-  void Asked(int balancer, Micros at, bool watching) override { judge_.Asked(balancer, at, watching); }
-  void AskFailed(int balancer, Micros at) override { judge_.AskFailed(balancer, at); }
-  void ByHand(int balancer, int node, bool out, Micros at) override {
-    judge_.ByHand(balancer, node, out, at);
-  }
-  void BalancerUp(int balancer, Micros at) override { judge_.BalancerUp(balancer, at); }
-  void BalancerDown(int balancer, Micros at, bool planned) override {
-    Note({at, 0, balancer});
-    judge_.BalancerDown(balancer, at, planned);
   }
-  void FaultBegan(int action, Micros at) override { judge_.FaultBegan(action, at); }
-  void FaultEnded(int action, Micros at) override { judge_.FaultEnded(action, at); }
+  void Strange(int node, int balancer, Micros at) override { Note({at, 0, balancer, node}); }
+  void BalancerDown(int balancer, Micros at, bool) override { Note({at, 0, balancer}); }
 
  private:
   struct Seen {
@@ -694,7 +657,6 @@
     return number < 0 ? name.empty() : places[static_cast<std::size_t>(number)].name == name;
   }
 
-  Judge& judge_;
   std::size_t line_ = 0;
   std::vector<Seen> all_;
 };
@@ -704,14 +666,17 @@
 std::optional<JudgedHistory> JudgeHistory(std::string_view text, BadLine& bad) {
   std::optional<Facts> facts;
   std::unique_ptr<Judge> judge;
-  std::optional<Index> index;
+  Index index;
+  Witnesses both;
+  both.Add(index);
   HistoryReader reader;
   reader.begin = [&](const Facts& read) -> Witness& {
     facts = read;
     judge = std::make_unique<Judge>(read);
-    return index.emplace(*judge);
+    both.Add(*judge);
+    return both;
   };
-  reader.before = [&](std::size_t line) { index->Before(line); };
+  reader.before = [&](std::size_t line) { index.Before(line); };
   if (!reader.Read(text)) {
     bad = reader.bad;
     return {};
@@ -720,7 +685,7 @@
   judged.verdict = judge->Finish(reader.ended_at);
   for (const RuleResult& rule : judged.verdict.rules) {
     for (const Finding& finding : rule.findings) {
-      judged.broken.push_back({rule.rule, finding, index->Find(*facts, finding)});
+      judged.broken.push_back({rule.rule, finding, index.Find(*facts, finding)});
     }
   }
   return judged;
