--- a/src/lab/commands.cpp
+++ b/src/lab/commands.cpp
@@ -16,16 +16,16 @@
 
 #include "io/process.h"
 #include "io/real_files.h"
-#include "lab/compare.h"
-#include "lab/experiment_file.h"
-#include "lab/history_file.h"
-#include "lab/play.h"
-#include "lab/report.h"
-#include "lab/script.h"
+#include "lab/judge/compare.h"
+#include "lab/judge/history_file.h"
+#include "lab/report/report.h"
+#include "lab/report/table.h"
+#include "lab/run/play.h"
+#include "lab/script/experiment_file.h"
+#include "lab/script/script.h"
 #include "lab/shipped.h"
 #include "lab/store.h"
 #include "lab/summary.h"
-#include "lab/table.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/compare.cpp
+++ b/src/lab/judge/compare.cpp
@@ -1,4 +1,4 @@
-#include "lab/compare.h"
+#include "lab/judge/compare.h"
 
 #include <algorithm>
 #include <boost/math/distributions/students_t.hpp>
@@ -7,7 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "lab/text.h"
+#include "lab/judge/text.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/compare.h
+++ b/src/lab/judge/compare.h
@@ -1,13 +1,13 @@
 // What two sets of results differ in, and where that is no more than noise. No I/O.
-#ifndef BURLFALL_LAB_COMPARE_H_
-#define BURLFALL_LAB_COMPARE_H_
+#ifndef BURLFALL_LAB_JUDGE_COMPARE_H_
+#define BURLFALL_LAB_JUDGE_COMPARE_H_
 
 #include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <vector>
 
-#include "lab/figures.h"
-#include "lab/result.h"
+#include "lab/judge/figures.h"
+#include "lab/judge/result.h"
 
 namespace burlfall::lab {
 
@@ -57,4 +57,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_COMPARE_H_
+#endif  // BURLFALL_LAB_JUDGE_COMPARE_H_
--- a/src/lab/facts.cpp
+++ b/src/lab/judge/facts.cpp
@@ -1,4 +1,4 @@
-#include "lab/facts.h"
+#include "lab/judge/facts.h"
 
 #include <algorithm>
 
--- a/src/lab/facts.h
+++ b/src/lab/judge/facts.h
@@ -1,7 +1,7 @@
 // What the judge holds a run against: the settings that the balancers were started with, who took part, the
 // faults of the script, and how exactly the lab can see. Plain data, filled once before the run.
-#ifndef BURLFALL_LAB_FACTS_H_
-#define BURLFALL_LAB_FACTS_H_
+#ifndef BURLFALL_LAB_JUDGE_FACTS_H_
+#define BURLFALL_LAB_JUDGE_FACTS_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include "io/time.h"
-#include "lab/experiment.h"
-#include "lab/script.h"
+#include "lab/script/experiment.h"
+#include "lab/script/script.h"
 #include "meadowslip/balancer.h"
 
 namespace burlfall::lab {
@@ -65,4 +65,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_FACTS_H_
+#endif  // BURLFALL_LAB_JUDGE_FACTS_H_
--- a/src/lab/figures.cpp
+++ b/src/lab/judge/figures.cpp
@@ -1,4 +1,4 @@
-#include "lab/figures.h"
+#include "lab/judge/figures.h"
 
 #include <cmath>
 #include <set>
--- a/src/lab/figures.h
+++ b/src/lab/judge/figures.h
@@ -1,12 +1,12 @@
 // The figures that runs are compared and tabled by, and how they spread over repeats. No I/O.
-#ifndef BURLFALL_LAB_FIGURES_H_
-#define BURLFALL_LAB_FIGURES_H_
+#ifndef BURLFALL_LAB_JUDGE_FIGURES_H_
+#define BURLFALL_LAB_JUDGE_FIGURES_H_
 
 #include <functional>
 #include <string>
 #include <vector>
 
-#include "lab/result.h"
+#include "lab/judge/result.h"
 
 namespace burlfall::lab {
 
@@ -32,4 +32,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_FIGURES_H_
+#endif  // BURLFALL_LAB_JUDGE_FIGURES_H_
--- a/src/lab/find.h
+++ b/src/lab/judge/find.h
@@ -1,6 +1,6 @@
 // An entry by a number that came from elsewhere.
-#ifndef BURLFALL_LAB_FIND_H_
-#define BURLFALL_LAB_FIND_H_
+#ifndef BURLFALL_LAB_JUDGE_FIND_H_
+#define BURLFALL_LAB_JUDGE_FIND_H_
 
 #include <cstddef>
 
@@ -14,4 +14,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_FIND_H_
+#endif  // BURLFALL_LAB_JUDGE_FIND_H_
--- a/src/lab/history.cpp
+++ b/src/lab/judge/history.cpp
@@ -1,8 +1,8 @@
-#include "lab/history.h"
+#include "lab/judge/history.h"
 
 #include <algorithm>
 
-#include "lab/find.h"
+#include "lab/judge/find.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/history.h
+++ b/src/lab/judge/history.h
@@ -1,11 +1,11 @@
 // What happened to balancers and zones during a run, and whether that excuses what a query met.
-#ifndef BURLFALL_LAB_HISTORY_H_
-#define BURLFALL_LAB_HISTORY_H_
+#ifndef BURLFALL_LAB_JUDGE_HISTORY_H_
+#define BURLFALL_LAB_JUDGE_HISTORY_H_
 
 #include <vector>
 
-#include "lab/facts.h"
-#include "lab/record.h"
+#include "lab/judge/facts.h"
+#include "lab/judge/record.h"
 
 namespace burlfall::lab {
 
@@ -49,4 +49,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_HISTORY_H_
+#endif  // BURLFALL_LAB_JUDGE_HISTORY_H_
--- a/src/lab/history_file.cpp
+++ b/src/lab/judge/history_file.cpp
@@ -1,4 +1,4 @@
-#include "lab/history_file.h"
+#include "lab/judge/history_file.h"
 
 #include <algorithm>
 #include <array>
@@ -13,10 +13,10 @@
 
 #include "config/platform_config.h"
 #include "config/settings.h"
-#include "lab/judge.h"
-#include "lab/quiet_witness.h"
-#include "lab/text.h"
-#include "lab/witnesses.h"
+#include "lab/judge/judge.h"
+#include "lab/judge/text.h"
+#include "lab/witness/quiet_witness.h"
+#include "lab/witness/witnesses.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/history_file.h
+++ b/src/lab/judge/history_file.h
@@ -5,8 +5,8 @@
 //   HistoryWriter writer(facts, [&](std::string_view line) { file << line; });
 //   ... a Witness like any other ...
 //   writer.End(now);
-#ifndef BURLFALL_LAB_HISTORY_FILE_H_
-#define BURLFALL_LAB_HISTORY_FILE_H_
+#ifndef BURLFALL_LAB_JUDGE_HISTORY_FILE_H_
+#define BURLFALL_LAB_JUDGE_HISTORY_FILE_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -16,9 +16,9 @@
 #include <string_view>
 #include <vector>
 
-#include "lab/facts.h"
-#include "lab/result.h"
-#include "lab/witness.h"
+#include "lab/judge/facts.h"
+#include "lab/judge/result.h"
+#include "lab/witness/witness.h"
 
 namespace burlfall::lab {
 
@@ -95,4 +95,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_HISTORY_FILE_H_
+#endif  // BURLFALL_LAB_JUDGE_HISTORY_FILE_H_
--- a/src/lab/judge.cpp
+++ b/src/lab/judge/judge.cpp
@@ -1,11 +1,11 @@
-#include "lab/judge.h"
+#include "lab/judge/judge.h"
 
 #include <algorithm>
 
-#include "lab/find.h"
-#include "lab/sketch.h"
-#include "lab/tally.h"
-#include "lab/text.h"
+#include "lab/judge/find.h"
+#include "lab/judge/sketch.h"
+#include "lab/judge/tally.h"
+#include "lab/judge/text.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/judge.h
+++ b/src/lab/judge/judge.h
@@ -7,8 +7,8 @@
 //   Verdict verdict = judge.Finish(now);
 //
 // It keeps records of queries that are open or were lately, and sketches of fixed size of all others.
-#ifndef BURLFALL_LAB_JUDGE_H_
-#define BURLFALL_LAB_JUDGE_H_
+#ifndef BURLFALL_LAB_JUDGE_JUDGE_H_
+#define BURLFALL_LAB_JUDGE_JUDGE_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -20,14 +20,14 @@
 #include <utility>
 #include <vector>
 
-#include "lab/facts.h"
-#include "lab/history.h"
-#include "lab/record.h"
-#include "lab/result.h"
-#include "lab/rules.h"
-#include "lab/told.h"
-#include "lab/traces.h"
-#include "lab/witness.h"
+#include "lab/judge/facts.h"
+#include "lab/judge/history.h"
+#include "lab/judge/record.h"
+#include "lab/judge/result.h"
+#include "lab/judge/rules.h"
+#include "lab/judge/told.h"
+#include "lab/judge/traces.h"
+#include "lab/witness/witness.h"
 
 namespace burlfall::lab {
 
@@ -116,4 +116,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_JUDGE_H_
+#endif  // BURLFALL_LAB_JUDGE_JUDGE_H_
--- a/src/lab/record.h
+++ b/src/lab/judge/record.h
@@ -1,12 +1,12 @@
 // What was seen of one query, at both ends: the judge fills it, the rules read it.
-#ifndef BURLFALL_LAB_RECORD_H_
-#define BURLFALL_LAB_RECORD_H_
+#ifndef BURLFALL_LAB_JUDGE_RECORD_H_
+#define BURLFALL_LAB_JUDGE_RECORD_H_
 
 #include <algorithm>
 #include <cstddef>
 #include <vector>
 
-#include "lab/witness.h"
+#include "lab/witness/witness.h"
 
 namespace burlfall::lab {
 
@@ -44,4 +44,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_RECORD_H_
+#endif  // BURLFALL_LAB_JUDGE_RECORD_H_
--- a/src/lab/result.cpp
+++ b/src/lab/judge/result.cpp
@@ -1,4 +1,4 @@
-#include "lab/result.h"
+#include "lab/judge/result.h"
 
 #include <concepts>
 #include <limits>
@@ -393,7 +393,7 @@
 std::string ResultReference() {
   std::string text =
       "# result.json\n\n"
-      "What a run of the lab came to. Made from the list of fields in `src/lab/result.cpp`; a test holds the "
+      "What a run of the lab came to. Made from the list of fields in `src/lab/judge/result.cpp`; a test holds the "
       "two\n"
       "together. Schema version " +
       std::to_string(kResultSchema) +
--- a/src/lab/result.h
+++ b/src/lab/judge/result.h
@@ -1,8 +1,8 @@
 // What a run came to: the judge writes it, result.json holds it, comparisons and reports read it. Plain data.
 // Each field's name, unit and meaning stand in one list in result.cpp, from which the writer, the reader and
 // docs/lab-result.md come.
-#ifndef BURLFALL_LAB_RESULT_H_
-#define BURLFALL_LAB_RESULT_H_
+#ifndef BURLFALL_LAB_JUDGE_RESULT_H_
+#define BURLFALL_LAB_JUDGE_RESULT_H_
 
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
@@ -219,4 +219,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_RESULT_H_
+#endif  // BURLFALL_LAB_JUDGE_RESULT_H_
--- a/src/lab/rules.cpp
+++ b/src/lab/judge/rules.cpp
@@ -1,8 +1,8 @@
-#include "lab/rules.h"
+#include "lab/judge/rules.h"
 
 #include <algorithm>
 
-#include "lab/text.h"
+#include "lab/judge/text.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/rules.h
+++ b/src/lab/judge/rules.h
@@ -1,16 +1,16 @@
 // The rules on single queries, over what was seen of one from its first try to the last event: those on
 // answers, effects, copies and numbers of attempts. The rules on nodes, which need no query, are the judge's.
-#ifndef BURLFALL_LAB_RULES_H_
-#define BURLFALL_LAB_RULES_H_
+#ifndef BURLFALL_LAB_JUDGE_RULES_H_
+#define BURLFALL_LAB_JUDGE_RULES_H_
 
 #include <cstddef>
 #include <string>
 #include <vector>
 
-#include "lab/facts.h"
-#include "lab/history.h"
-#include "lab/record.h"
-#include "lab/result.h"
+#include "lab/judge/facts.h"
+#include "lab/judge/history.h"
+#include "lab/judge/record.h"
+#include "lab/judge/result.h"
 
 namespace burlfall::lab {
 
@@ -65,4 +65,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_RULES_H_
+#endif  // BURLFALL_LAB_JUDGE_RULES_H_
--- a/src/lab/sketch.cpp
+++ b/src/lab/judge/sketch.cpp
@@ -1,4 +1,4 @@
-#include "lab/sketch.h"
+#include "lab/judge/sketch.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/lab/sketch.h
+++ b/src/lab/judge/sketch.h
@@ -1,7 +1,7 @@
 // Times in a histogram with a logarithmic axis: fixed in size, mergeable, and off by at most 1% at any
 // quantile. From 10 us to 1,000 s; what lies beyond is told by the least and the most, which are exact.
-#ifndef BURLFALL_LAB_SKETCH_H_
-#define BURLFALL_LAB_SKETCH_H_
+#ifndef BURLFALL_LAB_JUDGE_SKETCH_H_
+#define BURLFALL_LAB_JUDGE_SKETCH_H_
 
 #include <boost/histogram/axis/regular.hpp>
 #include <boost/histogram/histogram.hpp>
@@ -45,4 +45,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_SKETCH_H_
+#endif  // BURLFALL_LAB_JUDGE_SKETCH_H_
--- a/src/lab/tally.cpp
+++ b/src/lab/judge/tally.cpp
@@ -1,8 +1,8 @@
-#include "lab/tally.h"
+#include "lab/judge/tally.h"
 
 #include <algorithm>
 
-#include "lab/find.h"
+#include "lab/judge/find.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/tally.h
+++ b/src/lab/judge/tally.h
@@ -1,16 +1,16 @@
 // Adds up what the judge has made of single queries: service as the operators count it, latency, outcomes and
 // the course of the run second by second. No I/O, no clock.
-#ifndef BURLFALL_LAB_TALLY_H_
-#define BURLFALL_LAB_TALLY_H_
+#ifndef BURLFALL_LAB_JUDGE_TALLY_H_
+#define BURLFALL_LAB_JUDGE_TALLY_H_
 
 #include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <vector>
 
-#include "lab/facts.h"
-#include "lab/result.h"
-#include "lab/sketch.h"
+#include "lab/judge/facts.h"
+#include "lab/judge/result.h"
+#include "lab/judge/sketch.h"
 
 namespace burlfall::lab {
 
@@ -88,4 +88,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_TALLY_H_
+#endif  // BURLFALL_LAB_JUDGE_TALLY_H_
--- a/src/lab/text.cpp
+++ b/src/lab/judge/text.cpp
@@ -1,4 +1,4 @@
-#include "lab/text.h"
+#include "lab/judge/text.h"
 
 #include <cstdarg>
 #include <cstdio>
--- a/src/lab/text.h
+++ b/src/lab/judge/text.h
@@ -1,6 +1,6 @@
 // Text for people: lines of stories, reasons and tables.
-#ifndef BURLFALL_LAB_TEXT_H_
-#define BURLFALL_LAB_TEXT_H_
+#ifndef BURLFALL_LAB_JUDGE_TEXT_H_
+#define BURLFALL_LAB_JUDGE_TEXT_H_
 
 #include <cstdint>
 #include <string>
@@ -15,4 +15,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_TEXT_H_
+#endif  // BURLFALL_LAB_JUDGE_TEXT_H_
--- a/src/lab/told.cpp
+++ b/src/lab/judge/told.cpp
@@ -1,9 +1,9 @@
-#include "lab/told.h"
+#include "lab/judge/told.h"
 
 #include <algorithm>
 #include <cstddef>
 
-#include "lab/find.h"
+#include "lab/judge/find.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/traces.cpp
+++ b/src/lab/judge/traces.cpp
@@ -1,11 +1,11 @@
-#include "lab/traces.h"
+#include "lab/judge/traces.h"
 
 #include <algorithm>
 #include <map>
 #include <set>
 
-#include "lab/find.h"
-#include "lab/text.h"
+#include "lab/judge/find.h"
+#include "lab/judge/text.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/traces.h
+++ b/src/lab/judge/traces.h
@@ -2,16 +2,16 @@
 // ring holds those of all queries, another those of nodes, balancers and faults; so memory is bounded
 // whatever they do, and taking an event in costs no more than writing it down. The looking is done where a
 // story is wanted.
-#ifndef BURLFALL_LAB_TRACES_H_
-#define BURLFALL_LAB_TRACES_H_
+#ifndef BURLFALL_LAB_JUDGE_TRACES_H_
+#define BURLFALL_LAB_JUDGE_TRACES_H_
 
 #include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
 
-#include "lab/facts.h"
-#include "lab/witness.h"
+#include "lab/judge/facts.h"
+#include "lab/witness/witness.h"
 
 namespace burlfall::lab {
 
@@ -89,4 +89,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_TRACES_H_
+#endif  // BURLFALL_LAB_JUDGE_TRACES_H_
--- a/src/lab/clients.cpp
+++ b/src/lab/load/clients.cpp
@@ -1,4 +1,4 @@
-#include "lab/clients.h"
+#include "lab/load/clients.h"
 
 #include <algorithm>
 #include <charconv>
@@ -6,8 +6,8 @@
 #include <utility>
 
 #include "config/platform.h"
-#include "lab/facts.h"
-#include "lab/mark.h"
+#include "lab/judge/facts.h"
+#include "lab/site/mark.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/clients.h
+++ b/src/lab/load/clients.h
@@ -3,8 +3,8 @@
 // keeps a pool of links to each.
 //
 // The runner says what becomes of balancers; when the front notices is drawn here.
-#ifndef BURLFALL_LAB_CLIENTS_H_
-#define BURLFALL_LAB_CLIENTS_H_
+#ifndef BURLFALL_LAB_LOAD_CLIENTS_H_
+#define BURLFALL_LAB_LOAD_CLIENTS_H_
 
 #include <cstdint>
 #include <deque>
@@ -15,14 +15,14 @@
 #include <vector>
 
 #include "io/machine.h"
-#include "lab/experiment.h"
-#include "lab/front_model.h"
-#include "lab/http_link.h"
-#include "lab/query_text.h"
-#include "lab/rude.h"
-#include "lab/script.h"
-#include "lab/witness.h"
-#include "lab/work_book.h"
+#include "lab/load/front_model.h"
+#include "lab/load/http_link.h"
+#include "lab/load/query_text.h"
+#include "lab/load/rude.h"
+#include "lab/load/work_book.h"
+#include "lab/script/experiment.h"
+#include "lab/script/script.h"
+#include "lab/witness/witness.h"
 
 namespace burlfall::lab {
 
@@ -191,4 +191,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_CLIENTS_H_
+#endif  // BURLFALL_LAB_LOAD_CLIENTS_H_
--- a/src/lab/front_model.cpp
+++ b/src/lab/load/front_model.cpp
@@ -1,8 +1,8 @@
-#include "lab/front_model.h"
+#include "lab/load/front_model.h"
 
 #include <algorithm>
 
-#include "lab/script.h"
+#include "lab/script/script.h"
 
 namespace burlfall::lab {
 
--- a/src/lab/front_model.h
+++ b/src/lab/load/front_model.h
@@ -1,15 +1,15 @@
 // What the front before the balancers believes and whom it sends to, and which tries its clients make again.
 // No I/O, no clock: times come in, decisions go out. The stand-in in clients.h puts both on connections.
-#ifndef BURLFALL_LAB_FRONT_MODEL_H_
-#define BURLFALL_LAB_FRONT_MODEL_H_
+#ifndef BURLFALL_LAB_LOAD_FRONT_MODEL_H_
+#define BURLFALL_LAB_LOAD_FRONT_MODEL_H_
 
 #include <cstddef>
 #include <optional>
 #include <vector>
 
 #include "io/time.h"
-#include "lab/experiment.h"
-#include "lab/witness.h"
+#include "lab/script/experiment.h"
+#include "lab/witness/witness.h"
 
 namespace burlfall::lab {
 
@@ -103,4 +103,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_FRONT_MODEL_H_
+#endif  // BURLFALL_LAB_LOAD_FRONT_MODEL_H_
--- a/src/lab/http_link.cpp
+++ b/src/lab/load/http_link.cpp
@@ -1,4 +1,4 @@
-#include "lab/http_link.h"
+#include "lab/load/http_link.h"
 
 #include <utility>
 
--- a/src/lab/http_link.h
+++ b/src/lab/load/http_link.h
@@ -1,7 +1,7 @@
 // A link of a client: one query after the other, each with its answer. What the lab's clients and its load
 // are made of; what is sent, and when, they say.
-#ifndef BURLFALL_LAB_HTTP_LINK_H_
-#define BURLFALL_LAB_HTTP_LINK_H_
+#ifndef BURLFALL_LAB_LOAD_HTTP_LINK_H_
+#define BURLFALL_LAB_LOAD_HTTP_LINK_H_
 
 #include <cstddef>
 #include <memory>
@@ -76,4 +76,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_HTTP_LINK_H_
+#endif  // BURLFALL_LAB_LOAD_HTTP_LINK_H_
--- a/src/lab/load.cpp
+++ b/src/lab/load/load.cpp
@@ -1,10 +1,10 @@
-#include "lab/load.h"
+#include "lab/load/load.h"
 
 #include <algorithm>
 #include <cstring>
 #include <utility>
 
-#include "lab/mark.h"
+#include "lab/site/mark.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/load.h
+++ b/src/lab/load/load.h
@@ -1,7 +1,7 @@
 // Load alone, against any HTTP server: one query over and over, at a fixed rate whatever the answers do, or
 // as fast as a number of connections gets answers. No balancer's protocol is assumed.
-#ifndef BURLFALL_LAB_LOAD_H_
-#define BURLFALL_LAB_LOAD_H_
+#ifndef BURLFALL_LAB_LOAD_LOAD_H_
+#define BURLFALL_LAB_LOAD_LOAD_H_
 
 #include <cstdint>
 #include <deque>
@@ -12,9 +12,9 @@
 #include <vector>
 
 #include "io/machine.h"
-#include "lab/http_link.h"
-#include "lab/script.h"
-#include "lab/sketch.h"
+#include "lab/judge/sketch.h"
+#include "lab/load/http_link.h"
+#include "lab/script/script.h"
 
 namespace burlfall::lab {
 
@@ -123,4 +123,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_LOAD_H_
+#endif  // BURLFALL_LAB_LOAD_LOAD_H_
--- a/src/lab/query_text.cpp
+++ b/src/lab/load/query_text.cpp
@@ -1,4 +1,4 @@
-#include "lab/query_text.h"
+#include "lab/load/query_text.h"
 
 #include <algorithm>
 #include <charconv>
@@ -6,7 +6,7 @@
 
 #include "codec/http.h"
 #include "config/platform.h"
-#include "lab/mark.h"
+#include "lab/site/mark.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/query_text.h
+++ b/src/lab/load/query_text.h
@@ -1,13 +1,13 @@
 // A client's query as it stands on the wire.
-#ifndef BURLFALL_LAB_QUERY_TEXT_H_
-#define BURLFALL_LAB_QUERY_TEXT_H_
+#ifndef BURLFALL_LAB_LOAD_QUERY_TEXT_H_
+#define BURLFALL_LAB_LOAD_QUERY_TEXT_H_
 
 #include <string>
 #include <vector>
 
-#include "lab/experiment.h"
-#include "lab/script.h"
-#include "lab/witness.h"
+#include "lab/script/experiment.h"
+#include "lab/script/script.h"
+#include "lab/witness/witness.h"
 
 namespace burlfall::lab {
 
@@ -30,4 +30,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_QUERY_TEXT_H_
+#endif  // BURLFALL_LAB_LOAD_QUERY_TEXT_H_
--- a/src/lab/rude.cpp
+++ b/src/lab/load/rude.cpp
@@ -1,4 +1,4 @@
-#include "lab/rude.h"
+#include "lab/load/rude.h"
 
 #include <algorithm>
 #include <array>
--- a/src/lab/rude.h
+++ b/src/lab/load/rude.h
@@ -1,8 +1,8 @@
 // Clients that don't keep the protocol: links that say nothing, half a query, or what is none; that pour on
 // without end; that leave under a query. None of it is judged as a query, and what the balancers make of it
 // is only counted.
-#ifndef BURLFALL_LAB_RUDE_H_
-#define BURLFALL_LAB_RUDE_H_
+#ifndef BURLFALL_LAB_LOAD_RUDE_H_
+#define BURLFALL_LAB_LOAD_RUDE_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -13,11 +13,11 @@
 #include <vector>
 
 #include "io/machine.h"
-#include "lab/experiment.h"
-#include "lab/query_text.h"
-#include "lab/script.h"
-#include "lab/witnesses.h"
-#include "lab/work_book.h"
+#include "lab/load/query_text.h"
+#include "lab/load/work_book.h"
+#include "lab/script/experiment.h"
+#include "lab/script/script.h"
+#include "lab/witness/witnesses.h"
 
 namespace burlfall::lab {
 
@@ -88,4 +88,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_RUDE_H_
+#endif  // BURLFALL_LAB_LOAD_RUDE_H_
--- a/src/lab/work_book.cpp
+++ b/src/lab/load/work_book.cpp
@@ -1,8 +1,8 @@
-#include "lab/work_book.h"
+#include "lab/load/work_book.h"
 
 #include <utility>
 
-#include "lab/script.h"
+#include "lab/script/script.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/work_book.h
+++ b/src/lab/load/work_book.h
@@ -1,14 +1,14 @@
 // What is known of each query's work, for the nodes: from its first try until a while after its end.
-#ifndef BURLFALL_LAB_WORK_BOOK_H_
-#define BURLFALL_LAB_WORK_BOOK_H_
+#ifndef BURLFALL_LAB_LOAD_WORK_BOOK_H_
+#define BURLFALL_LAB_LOAD_WORK_BOOK_H_
 
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <vector>
 
-#include "lab/node.h"
-#include "lab/witness.h"
+#include "lab/site/node.h"
+#include "lab/witness/witness.h"
 
 namespace burlfall::lab {
 
@@ -49,4 +49,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_WORK_BOOK_H_
+#endif  // BURLFALL_LAB_LOAD_WORK_BOOK_H_
--- a/src/lab/load_command.cpp
+++ b/src/lab/load_command.cpp
@@ -14,7 +14,7 @@
 #include "codec/http.h"
 #include "config/platform.h"
 #include "io/real_machine.h"
-#include "lab/load.h"
+#include "lab/load/load.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/node_command.cpp
+++ b/src/lab/node_command.cpp
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "io/real_machine.h"
-#include "lab/node.h"
-#include "lab/quiet_witness.h"
+#include "lab/site/node.h"
+#include "lab/witness/quiet_witness.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/course.cpp
+++ b/src/lab/report/course.cpp
@@ -1,4 +1,4 @@
-#include "lab/course.h"
+#include "lab/report/course.h"
 
 #include <charconv>
 
--- a/src/lab/course.h
+++ b/src/lab/report/course.h
@@ -1,6 +1,6 @@
 // A run's series of seconds, put together into as many steps as a plot can show. No I/O.
-#ifndef BURLFALL_LAB_COURSE_H_
-#define BURLFALL_LAB_COURSE_H_
+#ifndef BURLFALL_LAB_REPORT_COURSE_H_
+#define BURLFALL_LAB_REPORT_COURSE_H_
 
 #include <algorithm>
 #include <cmath>
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "lab/result.h"
+#include "lab/judge/result.h"
 
 namespace burlfall::lab {
 
@@ -55,4 +55,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_COURSE_H_
+#endif  // BURLFALL_LAB_REPORT_COURSE_H_
--- a/src/lab/gnuplot.cpp
+++ b/src/lab/report/gnuplot.cpp
@@ -1,4 +1,4 @@
-#include "lab/gnuplot.h"
+#include "lab/report/gnuplot.h"
 
 #include <fcntl.h>
 #include <signal.h>
@@ -14,7 +14,7 @@
 #include <thread>
 #include <vector>
 
-#include "lab/html.h"
+#include "lab/report/html.h"
 
 // Pictures are made by a tool, after the run. That is why this waits on the system itself, past the seam of
 // src/io: no virtual machine ever has to run it.
--- a/src/lab/gnuplot.h
+++ b/src/lab/report/gnuplot.h
@@ -1,6 +1,6 @@
 // One run of gnuplot: a script in, a picture out.
-#ifndef BURLFALL_LAB_GNUPLOT_H_
-#define BURLFALL_LAB_GNUPLOT_H_
+#ifndef BURLFALL_LAB_REPORT_GNUPLOT_H_
+#define BURLFALL_LAB_REPORT_GNUPLOT_H_
 
 #include <chrono>
 #include <string>
@@ -29,4 +29,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_GNUPLOT_H_
+#endif  // BURLFALL_LAB_REPORT_GNUPLOT_H_
--- a/src/lab/html.cpp
+++ b/src/lab/report/html.cpp
@@ -1,4 +1,4 @@
-#include "lab/html.h"
+#include "lab/report/html.h"
 
 #include <utility>
 
--- a/src/lab/html.h
+++ b/src/lab/report/html.h
@@ -1,6 +1,6 @@
 // Pieces of a page. Whatever comes from a file goes through Escaped.
-#ifndef BURLFALL_LAB_HTML_H_
-#define BURLFALL_LAB_HTML_H_
+#ifndef BURLFALL_LAB_REPORT_HTML_H_
+#define BURLFALL_LAB_REPORT_HTML_H_
 
 #include <cstddef>
 #include <string>
@@ -39,4 +39,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_HTML_H_
+#endif  // BURLFALL_LAB_REPORT_HTML_H_
--- a/src/lab/plots.cpp
+++ b/src/lab/report/plots.cpp
@@ -1,14 +1,14 @@
-#include "lab/plots.h"
+#include "lab/report/plots.h"
 
 #include <algorithm>
 #include <cmath>
 #include <utility>
 
-#include "lab/course.h"
-#include "lab/gnuplot.h"
-#include "lab/script.h"
-#include "lab/sheet.h"
-#include "lab/sketch.h"
+#include "lab/judge/sketch.h"
+#include "lab/report/course.h"
+#include "lab/report/gnuplot.h"
+#include "lab/report/sheet.h"
+#include "lab/script/script.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/plots.h
+++ b/src/lab/report/plots.h
@@ -1,11 +1,11 @@
 // A result as scripts for gnuplot: the run's course, second by second, and how long answers took. No I/O.
-#ifndef BURLFALL_LAB_PLOTS_H_
-#define BURLFALL_LAB_PLOTS_H_
+#ifndef BURLFALL_LAB_REPORT_PLOTS_H_
+#define BURLFALL_LAB_REPORT_PLOTS_H_
 
 #include <string>
 #include <vector>
 
-#include "lab/result.h"
+#include "lab/judge/result.h"
 
 namespace burlfall::lab {
 
@@ -25,4 +25,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_PLOTS_H_
+#endif  // BURLFALL_LAB_REPORT_PLOTS_H_
--- a/src/lab/report.cpp
+++ b/src/lab/report/report.cpp
@@ -1,4 +1,4 @@
-#include "lab/report.h"
+#include "lab/report/report.h"
 
 #include <algorithm>
 #include <chrono>
@@ -7,12 +7,12 @@
 #include <numeric>
 #include <utility>
 
-#include "lab/course.h"
-#include "lab/figures.h"
-#include "lab/gnuplot.h"
-#include "lab/html.h"
-#include "lab/plots.h"
-#include "lab/text.h"
+#include "lab/judge/figures.h"
+#include "lab/judge/text.h"
+#include "lab/report/course.h"
+#include "lab/report/gnuplot.h"
+#include "lab/report/html.h"
+#include "lab/report/plots.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/report.h
+++ b/src/lab/report/report.h
@@ -1,14 +1,14 @@
 // Results of runs as one page that opens offline: what was run, what came of it, tables and plots. The same
 // results give the same bytes.
-#ifndef BURLFALL_LAB_REPORT_H_
-#define BURLFALL_LAB_REPORT_H_
+#ifndef BURLFALL_LAB_REPORT_REPORT_H_
+#define BURLFALL_LAB_REPORT_REPORT_H_
 
 #include <string>
 #include <vector>
 
-#include "lab/experiment.h"
-#include "lab/result.h"
-#include "lab/table.h"
+#include "lab/judge/result.h"
+#include "lab/report/table.h"
+#include "lab/script/experiment.h"
 
 namespace burlfall::lab {
 
@@ -44,4 +44,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_REPORT_H_
+#endif  // BURLFALL_LAB_REPORT_REPORT_H_
--- a/src/lab/sheet.cpp
+++ b/src/lab/report/sheet.cpp
@@ -1,9 +1,9 @@
-#include "lab/sheet.h"
+#include "lab/report/sheet.h"
 
 #include <algorithm>
 #include <cmath>
 
-#include "lab/gnuplot.h"
+#include "lab/report/gnuplot.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/sheet.h
+++ b/src/lab/report/sheet.h
@@ -1,14 +1,14 @@
 // A plot's script for gnuplot, piece by piece. All sheets have the same margins, so that what stands below
 // each other happened at the same time. No I/O.
-#ifndef BURLFALL_LAB_SHEET_H_
-#define BURLFALL_LAB_SHEET_H_
+#ifndef BURLFALL_LAB_REPORT_SHEET_H_
+#define BURLFALL_LAB_REPORT_SHEET_H_
 
 #include <cstddef>
 #include <string>
 #include <vector>
 
-#include "lab/course.h"
-#include "lab/result.h"
+#include "lab/judge/result.h"
+#include "lab/report/course.h"
 
 namespace burlfall::lab {
 
@@ -76,4 +76,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_SHEET_H_
+#endif  // BURLFALL_LAB_REPORT_SHEET_H_
--- a/src/lab/table.cpp
+++ b/src/lab/report/table.cpp
@@ -1,4 +1,4 @@
-#include "lab/table.h"
+#include "lab/report/table.h"
 
 #include <algorithm>
 #include <map>
@@ -6,8 +6,8 @@
 #include <set>
 #include <utility>
 
-#include "lab/html.h"
-#include "lab/text.h"
+#include "lab/judge/text.h"
+#include "lab/report/html.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/table.h
+++ b/src/lab/report/table.h
@@ -1,7 +1,7 @@
 // Subjects against experiments: what each got on each, with its spread over repeats, and what it broke. No
 // I/O.
-#ifndef BURLFALL_LAB_TABLE_H_
-#define BURLFALL_LAB_TABLE_H_
+#ifndef BURLFALL_LAB_REPORT_TABLE_H_
+#define BURLFALL_LAB_REPORT_TABLE_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "lab/figures.h"
-#include "lab/result.h"
+#include "lab/judge/figures.h"
+#include "lab/judge/result.h"
 
 namespace burlfall::lab {
 
@@ -50,4 +50,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_TABLE_H_
+#endif  // BURLFALL_LAB_REPORT_TABLE_H_
--- a/src/lab/children.cpp
+++ b/src/lab/run/children.cpp
@@ -1,4 +1,4 @@
-#include "lab/children.h"
+#include "lab/run/children.h"
 
 #include <signal.h>
 
--- a/src/lab/children.h
+++ b/src/lab/run/children.h
@@ -1,7 +1,7 @@
 // The balancers of a run, as children of the lab: started as a platform would start them, their logs read,
 // their ends told.
-#ifndef BURLFALL_LAB_CHILDREN_H_
-#define BURLFALL_LAB_CHILDREN_H_
+#ifndef BURLFALL_LAB_RUN_CHILDREN_H_
+#define BURLFALL_LAB_RUN_CHILDREN_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -146,4 +146,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_CHILDREN_H_
+#endif  // BURLFALL_LAB_RUN_CHILDREN_H_
--- a/src/lab/play.cpp
+++ b/src/lab/run/play.cpp
@@ -1,4 +1,4 @@
-#include "lab/play.h"
+#include "lab/run/play.h"
 
 #include <sched.h>
 #include <signal.h>
@@ -11,7 +11,7 @@
 #include <utility>
 
 #include "io/real_machine.h"
-#include "lab/children.h"
+#include "lab/run/children.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/play.h
+++ b/src/lab/run/play.h
@@ -1,15 +1,15 @@
 // A run with real balancers: children of this process, on real sockets.
-#ifndef BURLFALL_LAB_PLAY_H_
-#define BURLFALL_LAB_PLAY_H_
+#ifndef BURLFALL_LAB_RUN_PLAY_H_
+#define BURLFALL_LAB_RUN_PLAY_H_
 
 #include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
 
-#include "lab/experiment.h"
-#include "lab/result.h"
-#include "lab/run.h"
+#include "lab/judge/result.h"
+#include "lab/run/run.h"
+#include "lab/script/experiment.h"
 
 namespace burlfall::lab {
 
@@ -44,4 +44,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_PLAY_H_
+#endif  // BURLFALL_LAB_RUN_PLAY_H_
--- a/src/lab/run.cpp
+++ b/src/lab/run/run.cpp
@@ -1,11 +1,11 @@
-#include "lab/run.h"
+#include "lab/run/run.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "config/platform_config.h"
 #include "config/settings.h"
-#include "lab/facts.h"
+#include "lab/judge/facts.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/run.h
+++ b/src/lab/run/run.h
@@ -1,7 +1,7 @@
 // One run of an experiment: the site, its clients, the judge, and the balancers between them. How the
 // balancers run is somebody else's to know (Processes).
-#ifndef BURLFALL_LAB_RUN_H_
-#define BURLFALL_LAB_RUN_H_
+#ifndef BURLFALL_LAB_RUN_RUN_H_
+#define BURLFALL_LAB_RUN_RUN_H_
 
 #include <cstdint>
 #include <memory>
@@ -10,14 +10,14 @@
 #include <vector>
 
 #include "io/machine.h"
-#include "lab/clients.h"
-#include "lab/experiment.h"
-#include "lab/history_file.h"
-#include "lab/judge.h"
-#include "lab/rude.h"
-#include "lab/script.h"
-#include "lab/site.h"
-#include "lab/witnesses.h"
+#include "lab/judge/history_file.h"
+#include "lab/judge/judge.h"
+#include "lab/load/clients.h"
+#include "lab/load/rude.h"
+#include "lab/script/experiment.h"
+#include "lab/script/script.h"
+#include "lab/site/site.h"
+#include "lab/witness/witnesses.h"
 
 namespace burlfall::lab {
 
@@ -115,4 +115,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_RUN_H_
+#endif  // BURLFALL_LAB_RUN_RUN_H_
--- a/src/lab/alias_table.cpp
+++ b/src/lab/script/alias_table.cpp
@@ -1,4 +1,4 @@
-#include "lab/alias_table.h"
+#include "lab/script/alias_table.h"
 
 #include <algorithm>
 #include <numeric>
--- a/src/lab/alias_table.h
+++ b/src/lab/script/alias_table.h
@@ -1,12 +1,12 @@
 // Draws a position by weight in constant time, however many there are: Walker's alias method as Vose builds
 // it.
-#ifndef BURLFALL_LAB_ALIAS_TABLE_H_
-#define BURLFALL_LAB_ALIAS_TABLE_H_
+#ifndef BURLFALL_LAB_SCRIPT_ALIAS_TABLE_H_
+#define BURLFALL_LAB_SCRIPT_ALIAS_TABLE_H_
 
 #include <cstdint>
 #include <vector>
 
-#include "lab/script.h"
+#include "lab/script/script.h"
 
 namespace burlfall::lab {
 
@@ -31,4 +31,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_ALIAS_TABLE_H_
+#endif  // BURLFALL_LAB_SCRIPT_ALIAS_TABLE_H_
--- a/src/lab/arrivals.cpp
+++ b/src/lab/script/arrivals.cpp
@@ -7,9 +7,9 @@
 #include <stdexcept>
 #include <string>
 
-#include "lab/alias_table.h"
-#include "lab/portable_math.h"
-#include "lab/script.h"
+#include "lab/script/alias_table.h"
+#include "lab/script/portable_math.h"
+#include "lab/script/script.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/experiment.h
+++ b/src/lab/script/experiment.h
@@ -1,7 +1,7 @@
 // An experiment: a site, a load on it, and faults, as an operator writes them down. Plain data; the file's
 // schema is in experiment_file.h. Ranges are drawn from evenly, once a run, by the run's seed.
-#ifndef BURLFALL_LAB_EXPERIMENT_H_
-#define BURLFALL_LAB_EXPERIMENT_H_
+#ifndef BURLFALL_LAB_SCRIPT_EXPERIMENT_H_
+#define BURLFALL_LAB_SCRIPT_EXPERIMENT_H_
 
 #include <cstdint>
 #include <string>
@@ -173,4 +173,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_EXPERIMENT_H_
+#endif  // BURLFALL_LAB_SCRIPT_EXPERIMENT_H_
--- a/src/lab/experiment_file.cpp
+++ b/src/lab/script/experiment_file.cpp
@@ -1,4 +1,4 @@
-#include "lab/experiment_file.h"
+#include "lab/script/experiment_file.h"
 
 #include <algorithm>
 #include <numeric>
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "lab/script.h"
+#include "lab/script/script.h"
 
 namespace burlfall::schema_internal {
 
--- a/src/lab/experiment_file.h
+++ b/src/lab/script/experiment_file.h
@@ -1,11 +1,11 @@
 // The TOML file that an experiment is written in: its keys, and the checks across them.
-#ifndef BURLFALL_LAB_EXPERIMENT_FILE_H_
-#define BURLFALL_LAB_EXPERIMENT_FILE_H_
+#ifndef BURLFALL_LAB_SCRIPT_EXPERIMENT_FILE_H_
+#define BURLFALL_LAB_SCRIPT_EXPERIMENT_FILE_H_
 
 #include <string_view>
 
 #include "config/schema.h"
-#include "lab/experiment.h"
+#include "lab/script/experiment.h"
 
 namespace burlfall::lab {
 
@@ -24,4 +24,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_EXPERIMENT_FILE_H_
+#endif  // BURLFALL_LAB_SCRIPT_EXPERIMENT_FILE_H_
--- a/src/lab/platform_json.cpp
+++ b/src/lab/script/platform_json.cpp
@@ -1,4 +1,4 @@
-#include "lab/platform_json.h"
+#include "lab/script/platform_json.h"
 
 #include <algorithm>
 #include <cinttypes>
--- a/src/lab/platform_json.h
+++ b/src/lab/script/platform_json.h
@@ -1,14 +1,14 @@
 // What the platform hands to balancers, as JSON in its own form and names: discovery's lists, a balancer's
 // settings and its whole configuration.
-#ifndef BURLFALL_LAB_PLATFORM_JSON_H_
-#define BURLFALL_LAB_PLATFORM_JSON_H_
+#ifndef BURLFALL_LAB_SCRIPT_PLATFORM_JSON_H_
+#define BURLFALL_LAB_SCRIPT_PLATFORM_JSON_H_
 
 #include <cstdint>
 #include <string>
 #include <vector>
 
-#include "lab/experiment.h"
-#include "lab/script.h"
+#include "lab/script/experiment.h"
+#include "lab/script/script.h"
 #include "meadowslip/balancer.h"
 
 namespace burlfall::lab {
@@ -42,4 +42,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_PLATFORM_JSON_H_
+#endif  // BURLFALL_LAB_SCRIPT_PLATFORM_JSON_H_
--- a/src/lab/portable_math.h
+++ b/src/lab/script/portable_math.h
@@ -2,8 +2,8 @@
 // to the last bit; it does not fix exp and log, and C libraries differ there, even one library between two
 // processors. Whoever includes this compiles with -ffp-contract=off, or multiply-adds bring the difference
 // back.
-#ifndef BURLFALL_LAB_PORTABLE_MATH_H_
-#define BURLFALL_LAB_PORTABLE_MATH_H_
+#ifndef BURLFALL_LAB_SCRIPT_PORTABLE_MATH_H_
+#define BURLFALL_LAB_SCRIPT_PORTABLE_MATH_H_
 
 #include <algorithm>
 #include <bit>
@@ -92,4 +92,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_PORTABLE_MATH_H_
+#endif  // BURLFALL_LAB_SCRIPT_PORTABLE_MATH_H_
--- a/src/lab/script.cpp
+++ b/src/lab/script/script.cpp
@@ -1,4 +1,4 @@
-#include "lab/script.h"
+#include "lab/script/script.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/lab/script.h
+++ b/src/lab/script/script.h
@@ -2,8 +2,8 @@
 // targets, and the queries as they come. The same experiment and seed give the same script, byte for byte;
 // each actor draws from a stream of its own, so that one more draw here moves nothing there. No I/O, no
 // clock.
-#ifndef BURLFALL_LAB_SCRIPT_H_
-#define BURLFALL_LAB_SCRIPT_H_
+#ifndef BURLFALL_LAB_SCRIPT_SCRIPT_H_
+#define BURLFALL_LAB_SCRIPT_SCRIPT_H_
 
 #include <cstdint>
 #include <memory>
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "io/time.h"
-#include "lab/experiment.h"
+#include "lab/script/experiment.h"
 
 namespace burlfall::lab {
 
@@ -128,4 +128,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_SCRIPT_H_
+#endif  // BURLFALL_LAB_SCRIPT_SCRIPT_H_
--- a/src/lab/stream.cpp
+++ b/src/lab/script/stream.cpp
@@ -1,8 +1,8 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
-#include "lab/portable_math.h"
-#include "lab/script.h"
+#include "lab/script/portable_math.h"
+#include "lab/script/script.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/discovery.cpp
+++ b/src/lab/site/discovery.cpp
@@ -1,4 +1,4 @@
-#include "lab/discovery.h"
+#include "lab/site/discovery.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/lab/discovery.h
+++ b/src/lab/site/discovery.h
@@ -1,6 +1,6 @@
 // The stand-in for discovery: a model of what it knows and when it answers, and that model on connections.
-#ifndef BURLFALL_LAB_DISCOVERY_H_
-#define BURLFALL_LAB_DISCOVERY_H_
+#ifndef BURLFALL_LAB_SITE_DISCOVERY_H_
+#define BURLFALL_LAB_SITE_DISCOVERY_H_
 
 #include <cstdint>
 #include <deque>
@@ -12,10 +12,10 @@
 #include <unordered_map>
 #include <vector>
 
-#include "lab/platform_json.h"
-#include "lab/script.h"
-#include "lab/stand_in.h"
-#include "lab/witness.h"
+#include "lab/script/platform_json.h"
+#include "lab/script/script.h"
+#include "lab/site/stand_in.h"
+#include "lab/witness/witness.h"
 #include "meadowslip/balancer.h"
 
 namespace burlfall::lab {
@@ -154,4 +154,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_DISCOVERY_H_
+#endif  // BURLFALL_LAB_SITE_DISCOVERY_H_
--- a/src/lab/discovery_model.cpp
+++ b/src/lab/site/discovery_model.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "lab/discovery.h"
+#include "lab/site/discovery.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/mark.cpp
+++ b/src/lab/site/mark.cpp
@@ -1,4 +1,4 @@
-#include "lab/mark.h"
+#include "lab/site/mark.h"
 
 #include <algorithm>
 #include <array>
--- a/src/lab/mark.h
+++ b/src/lab/site/mark.h
@@ -1,12 +1,12 @@
 // The line that a node writes at the front of an answer's body, and reading it back.
-#ifndef BURLFALL_LAB_MARK_H_
-#define BURLFALL_LAB_MARK_H_
+#ifndef BURLFALL_LAB_SITE_MARK_H_
+#define BURLFALL_LAB_SITE_MARK_H_
 
 #include <cstddef>
 #include <string>
 #include <string_view>
 
-#include "lab/witness.h"
+#include "lab/witness/witness.h"
 
 namespace burlfall::lab {
 
@@ -22,4 +22,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_MARK_H_
+#endif  // BURLFALL_LAB_SITE_MARK_H_
--- a/src/lab/node.cpp
+++ b/src/lab/site/node.cpp
@@ -1,4 +1,4 @@
-#include "lab/node.h"
+#include "lab/site/node.h"
 
 #include <algorithm>
 #include <charconv>
@@ -9,7 +9,7 @@
 #include <utility>
 
 #include "config/platform.h"
-#include "lab/mark.h"
+#include "lab/site/mark.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/node.h
+++ b/src/lab/site/node.h
@@ -1,6 +1,6 @@
 // A stand-in node: the model of node_model.h on connections, and what can go wrong with those.
-#ifndef BURLFALL_LAB_NODE_H_
-#define BURLFALL_LAB_NODE_H_
+#ifndef BURLFALL_LAB_SITE_NODE_H_
+#define BURLFALL_LAB_SITE_NODE_H_
 
 #include <cstdint>
 #include <functional>
@@ -9,9 +9,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "lab/node_model.h"
-#include "lab/stand_in.h"
-#include "lab/witness.h"
+#include "lab/site/node_model.h"
+#include "lab/site/stand_in.h"
+#include "lab/witness/witness.h"
 
 namespace burlfall::lab {
 
@@ -101,4 +101,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_NODE_H_
+#endif  // BURLFALL_LAB_SITE_NODE_H_
--- a/src/lab/node_model.cpp
+++ b/src/lab/site/node_model.cpp
@@ -1,4 +1,4 @@
-#include "lab/node_model.h"
+#include "lab/site/node_model.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/lab/node_model.h
+++ b/src/lab/site/node_model.h
@@ -5,8 +5,8 @@
 // The cores are shared evenly by what is in work, a handshake as much as a query, none getting more than one;
 // a slot is leave to be in work. However late an event comes in, what was to end before it ends at its own
 // time, so a clock that ticks coarsely costs no capacity.
-#ifndef BURLFALL_LAB_NODE_MODEL_H_
-#define BURLFALL_LAB_NODE_MODEL_H_
+#ifndef BURLFALL_LAB_SITE_NODE_MODEL_H_
+#define BURLFALL_LAB_SITE_NODE_MODEL_H_
 
 #include <cstdint>
 #include <deque>
@@ -16,8 +16,8 @@
 #include <vector>
 
 #include "io/time.h"
-#include "lab/experiment.h"
-#include "lab/script.h"
+#include "lab/script/experiment.h"
+#include "lab/script/script.h"
 
 namespace burlfall::lab {
 
@@ -108,4 +108,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_NODE_MODEL_H_
+#endif  // BURLFALL_LAB_SITE_NODE_MODEL_H_
--- a/src/lab/overlaps.cpp
+++ b/src/lab/site/overlaps.cpp
@@ -1,4 +1,4 @@
-#include "lab/overlaps.h"
+#include "lab/site/overlaps.h"
 
 #include <algorithm>
 
--- a/src/lab/site.cpp
+++ b/src/lab/site/site.cpp
@@ -1,4 +1,4 @@
-#include "lab/site.h"
+#include "lab/site/site.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/lab/site.h
+++ b/src/lab/site/site.h
@@ -1,7 +1,7 @@
 // A site: the nodes and discovery of a script, and its faults on a timeline. The balancers are somebody
 // else's, processes or not: the site tells them when to start and end, and hears when they have.
-#ifndef BURLFALL_LAB_SITE_H_
-#define BURLFALL_LAB_SITE_H_
+#ifndef BURLFALL_LAB_SITE_SITE_H_
+#define BURLFALL_LAB_SITE_SITE_H_
 
 #include <cstdint>
 #include <functional>
@@ -9,14 +9,14 @@
 #include <string>
 #include <vector>
 
-#include "lab/discovery.h"
-#include "lab/experiment.h"
-#include "lab/node.h"
-#include "lab/overlaps.h"
-#include "lab/platform_json.h"
-#include "lab/quiet_witness.h"
-#include "lab/script.h"
-#include "lab/witnesses.h"
+#include "lab/script/experiment.h"
+#include "lab/script/platform_json.h"
+#include "lab/script/script.h"
+#include "lab/site/discovery.h"
+#include "lab/site/node.h"
+#include "lab/site/overlaps.h"
+#include "lab/witness/quiet_witness.h"
+#include "lab/witness/witnesses.h"
 
 namespace burlfall::lab {
 
@@ -121,4 +121,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_SITE_H_
+#endif  // BURLFALL_LAB_SITE_SITE_H_
--- a/src/lab/stand_in.cpp
+++ b/src/lab/site/stand_in.cpp
@@ -1,4 +1,4 @@
-#include "lab/stand_in.h"
+#include "lab/site/stand_in.h"
 
 #include <algorithm>
 #include <system_error>
--- a/src/lab/stand_in.h
+++ b/src/lab/site/stand_in.h
@@ -2,8 +2,8 @@
 // who connects, and what lies between a balancer and this machine can be slow, or cut.
 //
 // Nothing here may be called from inside a Witness's call.
-#ifndef BURLFALL_LAB_STAND_IN_H_
-#define BURLFALL_LAB_STAND_IN_H_
+#ifndef BURLFALL_LAB_SITE_STAND_IN_H_
+#define BURLFALL_LAB_SITE_STAND_IN_H_
 
 #include <cstdint>
 #include <list>
@@ -118,4 +118,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_STAND_IN_H_
+#endif  // BURLFALL_LAB_SITE_STAND_IN_H_
--- a/src/lab/store.h
+++ b/src/lab/store.h
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "lab/result.h"
-#include "lab/table.h"
+#include "lab/judge/result.h"
+#include "lab/report/table.h"
 
 namespace burlfall::lab {
 
--- a/src/lab/summary.cpp
+++ b/src/lab/summary.cpp
@@ -1,6 +1,6 @@
 #include "lab/summary.h"
 
-#include "lab/text.h"
+#include "lab/judge/text.h"
 
 namespace burlfall::lab {
 namespace {
--- a/src/lab/summary.h
+++ b/src/lab/summary.h
@@ -4,8 +4,8 @@
 
 #include <string>
 
-#include "lab/experiment.h"
-#include "lab/result.h"
+#include "lab/judge/result.h"
+#include "lab/script/experiment.h"
 
 namespace burlfall::lab {
 
--- a/src/lab/witnesses.h
+++ b/src/lab/witness/witnesses.h
@@ -1,10 +1,10 @@
 // Tells several witnesses, in the order in which they were added.
-#ifndef BURLFALL_LAB_WITNESSES_H_
-#define BURLFALL_LAB_WITNESSES_H_
+#ifndef BURLFALL_LAB_WITNESS_WITNESSES_H_
+#define BURLFALL_LAB_WITNESS_WITNESSES_H_
 
 #include <vector>
 
-#include "lab/witness.h"
+#include "lab/witness/witness.h"
 
 namespace burlfall::lab {
 
@@ -62,4 +62,4 @@
 
 }  // namespace burlfall::lab
 
-#endif  // BURLFALL_LAB_WITNESSES_H_
+#endif  // BURLFALL_LAB_WITNESS_WITNESSES_H_
--- a/src/tools/kinds.cpp
+++ b/src/tools/kinds.cpp
@@ -1,6 +1,6 @@
 #include "config/kinds.h"
 
-#include "lab/experiment_file.h"
+#include "lab/script/experiment_file.h"
 
 namespace burlfall {
 
--- a/tests/histories/drawn.h
+++ b/tests/histories/drawn.h
@@ -10,8 +10,8 @@
 #include <string>
 #include <string_view>
 
-#include "lab/experiment_file.h"
-#include "lab/script.h"
+#include "lab/script/experiment_file.h"
+#include "lab/script/script.h"
 
 namespace burlfall::lab {
 
--- a/tests/histories/recorded_test.cpp
+++ b/tests/histories/recorded_test.cpp
@@ -9,7 +9,7 @@
 #include <set>
 #include <sstream>
 
-#include "lab/experiment_file.h"
+#include "lab/script/experiment_file.h"
 #include "virtual_run.h"
 
 namespace burlfall::lab {
--- a/tests/histories/virtual_run.h
+++ b/tests/histories/virtual_run.h
@@ -17,7 +17,7 @@
 #include "config/platform.h"
 #include "config/platform_config.h"
 #include "config/properties.h"
-#include "lab/run.h"
+#include "lab/run/run.h"
 #include "serve/program.h"
 #include "world/virtual_machine.h"
 
--- a/tests/lab/children_test.cpp
+++ b/tests/lab/children_test.cpp
@@ -1,6 +1,6 @@
 // Stories of children: how they are started, watched, read from and ended.
 #define CATCH_CONFIG_MAIN
-#include "lab/children.h"
+#include "lab/run/children.h"
 
 #include <fcntl.h>
 #include <sched.h>
--- a/tests/lab/clients_test.cpp
+++ b/tests/lab/clients_test.cpp
@@ -1,6 +1,6 @@
 // Stories of the clients and their front over loopback sockets, against a balancer that is scripted.
 #define CATCH_CONFIG_MAIN
-#include "lab/clients.h"
+#include "lab/load/clients.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -8,9 +8,9 @@
 #include <utility>
 #include <vector>
 
-#include "lab/mark.h"
-#include "lab/quiet_witness.h"
 #include "lab/scripted.h"
+#include "lab/site/mark.h"
+#include "lab/witness/quiet_witness.h"
 
 namespace burlfall::lab {
 namespace {
--- a/tests/lab/compare_test.cpp
+++ b/tests/lab/compare_test.cpp
@@ -1,5 +1,5 @@
 // Comparisons of results: what is a difference, and what is noise.
-#include "lab/compare.h"
+#include "lab/judge/compare.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/lab/discovery_model_test.cpp
+++ b/tests/lab/discovery_model_test.cpp
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-#include "lab/discovery.h"
+#include "lab/site/discovery.h"
 
 namespace burlfall::lab {
 namespace {
--- a/tests/lab/experiment_file_test.cpp
+++ b/tests/lab/experiment_file_test.cpp
@@ -1,4 +1,4 @@
-#include "lab/experiment_file.h"
+#include "lab/script/experiment_file.h"
 
 #include <gtest/gtest.h>
 
@@ -9,8 +9,8 @@
 
 #include "config/platform_config.h"
 #include "config/settings.h"
-#include "lab/platform_json.h"
-#include "lab/script.h"
+#include "lab/script/platform_json.h"
+#include "lab/script/script.h"
 
 namespace burlfall::lab {
 namespace {
--- a/tests/lab/front_model_test.cpp
+++ b/tests/lab/front_model_test.cpp
@@ -1,13 +1,13 @@
 // The front's beliefs, the clients' retries and what is known of their queries' work, without I/O.
-#include "lab/front_model.h"
+#include "lab/load/front_model.h"
 
 #include <gtest/gtest.h>
 
 #include <string>
 #include <vector>
 
-#include "lab/script.h"
-#include "lab/work_book.h"
+#include "lab/load/work_book.h"
+#include "lab/script/script.h"
 
 namespace burlfall::lab {
 namespace {
--- a/tests/lab/history_test.cpp
+++ b/tests/lab/history_test.cpp
@@ -5,8 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
-#include "lab/history_file.h"
-#include "lab/witnesses.h"
+#include "lab/judge/history_file.h"
+#include "lab/witness/witnesses.h"
 #include "stage.h"
 
 namespace burlfall::lab {
--- a/tests/lab/judge_test.cpp
+++ b/tests/lab/judge_test.cpp
@@ -2,8 +2,8 @@
 #include <chrono>
 #include <random>
 
-#include "lab/sketch.h"
-#include "lab/witnesses.h"
+#include "lab/judge/sketch.h"
+#include "lab/witness/witnesses.h"
 #include "stage.h"
 
 namespace burlfall::lab {
--- a/tests/lab/load_test.cpp
+++ b/tests/lab/load_test.cpp
@@ -1,6 +1,6 @@
 // Stories of the load against a scripted server, and of its command line.
 #define CATCH_CONFIG_MAIN
-#include "lab/load.h"
+#include "lab/load/load.h"
 
 #include <sys/wait.h>
 
--- a/tests/lab/node_model_test.cpp
+++ b/tests/lab/node_model_test.cpp
@@ -1,5 +1,5 @@
 // What a node does with what reaches it, and when, to the microsecond.
-#include "lab/node_model.h"
+#include "lab/site/node_model.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/lab/report_test.cpp
+++ b/tests/lab/report_test.cpp
@@ -1,5 +1,5 @@
 // Reports and tables of results that were made up.
-#include "lab/report.h"
+#include "lab/report/report.h"
 
 #include <gtest/gtest.h>
 
@@ -9,11 +9,11 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 
-#include "lab/course.h"
-#include "lab/gnuplot.h"
-#include "lab/html.h"
-#include "lab/plots.h"
-#include "lab/sheet.h"
+#include "lab/report/course.h"
+#include "lab/report/gnuplot.h"
+#include "lab/report/html.h"
+#include "lab/report/plots.h"
+#include "lab/report/sheet.h"
 #include "sample_verdict.h"
 
 namespace burlfall::lab {
--- a/tests/lab/result_test.cpp
+++ b/tests/lab/result_test.cpp
@@ -1,5 +1,5 @@
 // result.json: what is written is read again, and the page about it is true.
-#include "lab/result.h"
+#include "lab/judge/result.h"
 
 #include <cstdlib>
 #include <fstream>
--- a/tests/lab/sample_verdict.h
+++ b/tests/lab/sample_verdict.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <vector>
 
-#include "lab/result.h"
-#include "lab/sketch.h"
+#include "lab/judge/result.h"
+#include "lab/judge/sketch.h"
 
 namespace burlfall::lab {
 
--- a/tests/lab/script_test.cpp
+++ b/tests/lab/script_test.cpp
@@ -1,4 +1,4 @@
-#include "lab/script.h"
+#include "lab/script/script.h"
 
 #include <gtest/gtest.h>
 
@@ -11,7 +11,7 @@
 #include <map>
 #include <set>
 
-#include "lab/portable_math.h"
+#include "lab/script/portable_math.h"
 
 namespace burlfall::lab {
 namespace {
--- a/tests/lab/stage.h
+++ b/tests/lab/stage.h
@@ -9,8 +9,8 @@
 #include <utility>
 #include <vector>
 
-#include "lab/judge.h"
-#include "lab/text.h"
+#include "lab/judge/judge.h"
+#include "lab/judge/text.h"
 
 namespace burlfall::lab {
 
--- a/tests/lab/standin_test.cpp
+++ b/tests/lab/standin_test.cpp
@@ -7,10 +7,10 @@
 #include <utility>
 
 #include "io/real_machine.h"
-#include "lab/discovery.h"
-#include "lab/mark.h"
-#include "lab/node.h"
-#include "lab/quiet_witness.h"
+#include "lab/site/discovery.h"
+#include "lab/site/mark.h"
+#include "lab/site/node.h"
+#include "lab/witness/quiet_witness.h"
 
 namespace burlfall::lab {
 namespace {
