Two writers never tear a small file; a restarted node of the lab comes back

Seen: on a site of 300 balancers and 200 nodes restarted together, on the virtual clock, the 100 nodes of the fault nodes-restarted got no attempt for a minute, and 5% of the queries were refused for as long. Ruled out: the module (it held 4 servers of 8 in its list) and the list service's order of words; on real processes, 12 and 8, the same. At fault: Site::Moment's order in lab/site/site.cpp, by which what ends goes first: of a fault without length the end came before the begin, so nodes were started anew and then killed for good.

--- a/src/io/real_files.cpp
+++ b/src/io/real_files.cpp
@@ -99,7 +99,9 @@
   }
 
   bool Replace(const std::string& path, std::string_view text, std::string& why) override {
-    const std::string beside = path + ".new";
+    // Of its own process: two that write at once each publish what they have written, and never the other's
+    // half.
+    const std::string beside = path + ".new." + std::to_string(getpid());
     Descriptor fd(open(beside.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0640));
     bool written = static_cast<bool>(fd);
     while (written && !text.empty()) {
--- a/src/lab/run/run.cpp
+++ b/src/lab/run/run.cpp
@@ -60,7 +60,7 @@
                 script_.seed, begins_at_}),
       site_(machine, experiment, script_, witnesses_, *this,
             [this](TraceId trace, WorkInfo& work) { return clients_.WorkOf(trace, work); },
-            {setup_.node_host, setup_.listen}),
+            {setup_.node_host, setup_.host_each, setup_.listen}),
       moved_(machine.scheduler()) {
   witnesses_.Add(polite_);
   polite_.Add(judge_);
--- a/src/lab/run/run.h
+++ b/src/lab/run/run.h
@@ -46,6 +46,7 @@
     std::string subject;              // what is tried, for the result
     std::string node_host;            // nodes and discovery listen there, at any port
     std::vector<std::string> listen;  // of the balancers
+    bool host_each = false;           // nodes each at a host of their own
     Micros start_within = 2 * kSecond;
     HistoryWriter::Take history = {};  // takes its lines; empty: nobody wants them
   };
--- a/src/lab/site/site.cpp
+++ b/src/lab/site/site.cpp
@@ -22,8 +22,10 @@
 }  // namespace
 
 bool Site::Moment::operator<(const Moment& other) const {
-  // What ends goes first: two faults that follow each other on one node do not overlap.
-  return std::tuple(at, begins, action) < std::tuple(other.at, other.begins, other.action);
+  // What ends goes first: two faults that follow each other on one node do not overlap. But what has no
+  // length begins before it ends.
+  const auto turn = [](const Moment& one) { return one.begins ? 1 : one.at_once ? 2 : 0; };
+  return std::tuple(at, turn(*this), action) < std::tuple(other.at, turn(other), other.action);
 }
 
 void Site::FallTap::NodeChanged(int node, NodeChange change, Micros, const std::vector<double>&) {
@@ -59,8 +61,9 @@
   for (size_t i = 0; i < script.actions.size(); ++i) {
     const Action& action = script.actions[i];
     const int number = static_cast<int>(i);
-    moments_.push_back({action.at, number, true});
-    moments_.push_back({action.until, number, false});
+    const bool at_once = action.until == action.at;
+    moments_.push_back({action.at, number, true, at_once});
+    moments_.push_back({action.until, number, false, at_once});
   }
   std::stable_sort(moments_.begin(), moments_.end());
 }
@@ -74,7 +77,9 @@
 
 std::unique_ptr<Node> Site::MakeNode(int number) {
   const NodePlan& plan = PlanOf(number);
-  const std::vector<Address> at(script_.balancers.size(), Somewhere(places_.node_host));
+  const std::string own = "127.65." + std::to_string(number / 250) + "." + std::to_string(1 + number % 250);
+  const std::vector<Address> at(script_.balancers.size(),
+                                Somewhere(places_.host_each ? own : places_.node_host));
   auto node =
       std::make_unique<Node>(shared_, number, plan, experiment_.site.nodes[static_cast<size_t>(plan.kind)],
                              at, SeedFor(script_, "node " + plan.name));
--- a/src/lab/site/site.h
+++ b/src/lab/site/site.h
@@ -36,7 +36,9 @@
 class Site {
  public:
   struct Places {
-    std::string node_host;            // where nodes and discovery listen: ports are theirs to find
+    std::string node_host;  // where nodes and discovery listen: ports are theirs to find
+    // Each node at a host of its own instead, in 127.65.0.0/16, where there are more listeners than ports.
+    bool host_each = false;
     std::vector<std::string> listen;  // of the balancers, with ports
   };
   using WorkOf = std::function<bool(TraceId, WorkInfo&)>;
@@ -64,6 +66,7 @@
     Micros at = 0;
     int action = 0;
     bool begins = true;
+    bool at_once = false;  // of a fault without length
     bool operator<(const Moment& other) const;
   };
   // Hears of nodes that fell, to act on it once the witnesses are done.
--- a/tests/histories/fleets_test.cpp
+++ b/tests/histories/fleets_test.cpp
@@ -3,6 +3,11 @@
 #include <gtest/gtest.h>
 
 #include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <numeric>
 
 #include "drawn.h"
 #include "virtual_run.h"
@@ -97,5 +102,35 @@
   }
 }
 
+// Before, its end came first: the nodes were started anew and then killed for good, and a site never had them
+// back.
+TEST(Site, NodesThatAreRestartedServeAgain) {
+  Experiment site = Read(Cold(2, 50, 12));
+  site.site.nodes[0].count = 4;
+  site.site.nodes[0].cold_s = {1, 2};
+  site.load.rate_per_s = 100;
+  site.faults.push_back({.kind = FaultKind::kNodesRestarted, .at_s = {4, 4}, .share = 0.5});
+  const VirtualRun run = PlayVirtually(site, 3);
+  ASSERT_TRUE(run.whole) << run.why_not;
+  for (const auto& attempts : run.verdict.series.attempts_by_node) {
+    EXPECT_GT(std::accumulate(attempts.end() - 4, attempts.end(), uint64_t{0}), 0u);
+  }
+}
+
+// Any fleet's file on the virtual clock: FLEET names it, RESULT where its result goes. PLAIN: without its
+// [start].
+TEST(Fleets, PlayTheFileThatTheEnvironmentNames) {
+  const char *file = std::getenv("FLEET"), *result = std::getenv("RESULT");
+  if (file == nullptr) GTEST_SKIP() << "FLEET names no file";
+  std::ifstream in(file);
+  Experiment site = Read({std::istreambuf_iterator<char>(in), {}});
+  if (std::getenv("PLAIN") != nullptr) site.start.reset();
+  const VirtualRun run = PlayVirtually(site, Number("SEED", site.seed));
+  ASSERT_TRUE(run.whole) << run.why_not;
+  if (std::getenv("SAID") != nullptr) std::cout << run.said.at(0);
+  if (result != nullptr) std::ofstream(result) << ToJson(run.verdict).dump();
+  EXPECT_TRUE(run.verdict.rules_kept);
+}
+
 }  // namespace
 }  // namespace burlfall::lab
--- a/tests/histories/virtual_run.h
+++ b/tests/histories/virtual_run.h
@@ -79,6 +79,7 @@
     Run::Setup setup;
     setup.subject = "virtual";
     setup.node_host = "127.64.0.1";
+    setup.host_each = experiment_.site.balancers.count >= 100;
     setup.history = [this](std::string_view line) { out_.history += line; };
     for (int b = 0; b < experiment_.site.balancers.count; ++b) {
       setup.listen.push_back("127.64." + std::to_string(b / 250) + "." + std::to_string(2 + b % 250) +
--- a/tests/service/out_file_test.cpp
+++ b/tests/service/out_file_test.cpp
@@ -1,6 +1,13 @@
 #include "membership/out_file.h"
 
 #include <gtest/gtest.h>
+#include <stdlib.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+
+#include "io/real_files.h"
 
 namespace burlfall {
 namespace {
@@ -28,5 +35,42 @@
   EXPECT_FALSE(ReadOutFile(std::string(100, '\0')));
 }
 
+// The two processes of an upgrade, told in the same moment (F19): whoever reads sees the one or the other,
+// whole.
+TEST(Replace, TwoProcessesThatWriteOneFileNeverTearIt) {
+  std::string folder = (std::filesystem::temp_directory_path() / "burlfall-XXXXXX").string();
+  ASSERT_NE(mkdtemp(folder.data()), nullptr);
+  const std::string path = folder + "/file";
+  std::vector<pid_t> writers;
+  for (const char c : {'a', 'b'}) {
+    const pid_t pid = fork();
+    ASSERT_GE(pid, 0);
+    if (pid == 0) {
+      const auto files = MakeRealFiles();
+      const std::string text(c == 'a' ? 200'000 : 150'000, c);
+      std::string why;
+      for (int i = 0; i < 300; ++i) files->Replace(path, text, why);
+      _exit(0);
+    }
+    writers.push_back(pid);
+  }
+  const auto files = MakeRealFiles();
+  size_t left = writers.size(), torn = 0, read = 0;
+  while (left > 0) {
+    int status = 0;
+    if (waitpid(-1, &status, WNOHANG) > 0) --left;
+    const std::optional<std::string> text = files->Read(path);
+    if (!text) continue;
+    ++read;
+    const bool whole = text->size() == (text->starts_with('a') ? 200'000u : 150'000u) &&
+                       text->find_first_not_of(text->front()) == std::string::npos;
+    torn += whole ? 0 : 1;
+  }
+  EXPECT_GT(read, 0u);
+  EXPECT_EQ(torn, 0u);
+  EXPECT_EQ(files->List(folder).size(), 1u);  // nothing is left beside it
+  std::filesystem::remove_all(folder);
+}
+
 }  // namespace
 }  // namespace burlfall
