--- a/src/front/client_link.cpp
+++ b/src/front/client_link.cpp
@@ -395,6 +395,19 @@
       return true;
     }
   }
+  if (front_.parts_.not_ready && request_class >= 0) {
+    const meadowslip::Settings& settings = front_.parts_.config.settings;
+    const Micros patience = settings.classes[static_cast<size_t>(request_class)].deadline;
+    if (const std::optional<Micros> wait = front_.parts_.not_ready(patience)) {
+      ++front_.parts_.counters.not_ready;
+      count(Figure::kThrottled);
+      std::string headers;
+      const Micros told = std::min(*wait, settings.max_retry_after);
+      if (settings.retry_after && told > 0) AppendHeader(headers, platform::kRetryAfter, Door::Seconds(told));
+      Answer(503, headers, "");
+      return true;
+    }
+  }
   Door& door = front_.parts_.door;
   if (!door.on()) return false;
   std::string key = platform::kNobody;
--- a/src/front/http_front.h
+++ b/src/front/http_front.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "config/platform_config.h"
@@ -40,6 +41,9 @@
     Door& door;
     Figures* figures;  // nullptr: off
     Counters& counters;
+    // For a query with so much time: when to come back, where this balancer can't be of use before; nothing
+    // where it may pass. Empty: all may.
+    std::function<std::optional<Micros>(Micros patience)> not_ready = {};
   };
 
   // Binds the address; throws std::system_error where that can't be done.
--- a/src/lab/report/plots.cpp
+++ b/src/lab/report/plots.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t kMostRows = 300;  // of a heat map; of more nodes, neighbours are put together
 constexpr std::size_t kMostOutlines = 300;
 constexpr std::size_t kMostClasses = 6;
+constexpr uint64_t kLeastFleet = 8;
 
 constexpr const char* kBlue = "#1d6a96";
 constexpr const char* kRed = "#c1272d";
@@ -91,6 +92,8 @@
       NotInTime();
       ServiceOverTime();
       LatencyOverTime();
+      ListServiceOverTime();
+      ConnectionsOverTime();
       Heat("In flight at each node", "Most attempts that were out to a node at once.", "at once",
            verdict_.series.in_flight_by_node, true);
       Heat("Attempts at each node", "Attempts that arrived at a node.", "per second",
@@ -201,6 +204,45 @@
          "the mean of p50, the worst p99", sheet);
   }
 
+  // Of fleets alone: a few balancers ask it once.
+  void ListServiceOverTime() {
+    const FleetResult& fleet = verdict_.fleet;
+    if (fleet.lives < kLeastFleet) return;
+    Sheet sheet = OverTime(150, Sheet::Holds::kLines);
+    double most = 0;
+    const auto draw = [&](const std::vector<uint64_t>& series, const char* name, const char* colour) {
+      const Values values = PerSecond(course_, series);
+      if (MostOf(values) <= 0) return;
+      sheet.Steps(course_, name, values);
+      sheet.Line(name, colour, name);
+      most = std::max(most, MostOf(values));
+    };
+    draw(fleet.without_list, "without", "#98a4b3");
+    draw(fleet.refusals, "refused", kRed);
+    draw(fleet.watch_calls, "watches", "#7dbb9c");
+    draw(fleet.list_calls, "lists", kBlue);
+    if (sheet.empty()) return;
+    sheet.YLabel("calls per second");
+    sheet.YFromZero(most);
+    Keep("At the list service",
+         "Calls for the list and of watches, answers that were none, and the balancers that ran without a "
+         "list.",
+         "means", sheet);
+  }
+
+  void ConnectionsOverTime() {
+    const FleetResult& fleet = verdict_.fleet;
+    const Values values = PerSecond(course_, fleet.busiest_handshakes);
+    if (fleet.lives < kLeastFleet || MostOf(values) <= 0) return;
+    Sheet sheet = OverTime(110, Sheet::Holds::kLines);
+    sheet.Steps(course_, "busiest", values);
+    sheet.Line("busiest", kBlue, "busiest node");
+    sheet.YLabel("new per second");
+    sheet.YFromZero(MostOf(values));
+    Keep("New connections at the node that took most", "Each second's own: not always the same node.",
+         "means", sheet);
+  }
+
   // Of a list of values for each node. `most`: of what a cell holds, the most counts, else the mean.
   void Heat(const char* title, std::string note, const char* unit,
             const std::vector<std::vector<uint64_t>>& by_node, bool most) {
--- a/src/observe/counters.cpp
+++ b/src/observe/counters.cpp
@@ -28,6 +28,7 @@
   };
   rare("denied", denied);
   rare("limited", limited);
+  rare("not_ready", not_ready);
   rare("capture_dropped", capture_dropped);
   rare("capture_errors", capture_errors);
   rare("figures_dropped", figures_dropped);
--- a/src/observe/counters.h
+++ b/src/observe/counters.h
@@ -36,6 +36,7 @@
   uint64_t capture_errors = 0;   // of the disk
   uint64_t denied = 0;           // turned away for their token
   uint64_t limited = 0;          // turned away by the door limits
+  uint64_t not_ready = 0;        // turned away by a start that has no list yet
   uint64_t log_dropped = 0;      // lines of the log that found no room
 
   std::vector<std::pair<const char*, uint64_t>> All() const;  // that there is something to tell of
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -70,6 +70,13 @@
        {"next_ms", kNumber, "until discovery is called next, at the earliest"},
        {"window_ms", kNumber, "over which the first calls of all balancers are spread now"},
        {"calls", kNumber, "to discovery so far"}}}},
+    {"start_again",
+     LogLevel::kWarning,
+     "was started {before} times before within {span_ms} ms, without an orderly end",
+     "With `--start` and a folder: this process may be in a loop of crashes. Each round asks discovery "
+     "later.",
+     {{{"before", kNumber, "starts before this one"},
+       {"span_ms", kNumber, "the time over which they count"}}}},
     {"saved_list_used",
      LogLevel::kInfo,
      "starts from a saved list: {nodes} nodes, version {version}, {age_ms} ms old",
--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -85,7 +85,7 @@
       dispatcher_(
           machine.scheduler(), config_.settings, config_.seed, upstream_, [this] { discovery_.Follow(); },
           counters_),
-      front_({machine, config_, dispatcher_, budget_, tokens_, door_, figures_.get(), counters_}),
+      front_({machine, config_, dispatcher_, budget_, tokens_, door_, figures_.get(), counters_, NotReady()}),
       moved_(machine.scheduler()),
       sweep_(machine.scheduler()) {
   if (config_.admin.length > 0)
@@ -116,6 +116,16 @@
   return &asking_.emplace(AskRulesFor(start_, config_), std::hash<std::string>()(config_.name));
 }
 
+// A gate as the others: what can't be carried before the first list is turned away at once, and not held.
+std::function<std::optional<Micros>(Micros)> Program::NotReady() {
+  if (!asking_) return {};
+  return [this](Micros patience) -> std::optional<Micros> {
+    if (hosts_.Ready() > 0) return std::nullopt;
+    const double draw = static_cast<double>(machine_.Entropy() >> 11) * 0x1p-53;
+    return asking_->Refuses(machine_.Now(), patience, draw);
+  };
+}
+
 size_t Program::descriptors() const {
   return std::min(static_cast<size_t>(config_.sockets), machine_.MostDescriptors());
 }
@@ -143,8 +153,10 @@
   if (!estate || !TakeOver(*estate)) BeginAlone();
   if (capture_) capture_->Start();
   began_at_ = machine_.Now();
-  if (asking_)
-    asking_->Begin(began_at_, hosts_.Ready() > 0, static_cast<double>(machine_.Entropy() >> 11) * 0x1p-53);
+  if (asking_) {
+    const double draw = static_cast<double>(machine_.Entropy() >> 11) * 0x1p-53;
+    asking_->Begin(began_at_, hosts_.Ready() > 0, draw, estate ? 0 : BeganBefore());
+  }
   discovery_.Start();
   dispatcher_.OnList(hosts_.AsItStands());
   // A module that was taken over may believe that discovery is followed.
@@ -179,26 +191,35 @@
 
 // ---- The list from start to start ------------------------------------------------------------------------
 
-std::string Program::ListPath(int file) const {
+std::string Program::KeptPath(const std::string& what) const {
   Config named = config_;
   named.folder = start_.saved_list.folder;
-  return PathFor(named, file == 0 ? ".list.0" : ".list.1");
+  return PathFor(named, what.c_str());
 }
 
-// What the configuration came with may be older, or nothing.
-bool Program::UseSavedList() {
-  if (!keeper_) return false;
+std::string Program::ListPath(int file) const { return KeptPath(file == 0 ? ".list.0" : ".list.1"); }
+
+// Further writes count on from what is found, whether it is used or not: the newer of two files is told by
+// that.
+start::SavedChoice Program::FindSavedList() {
   std::vector<start::SavedFile> files;
   for (const int file : {0, 1}) {
     std::optional<std::string> text = machine_.files().Read(ListPath(file));
     if (text) files.push_back({ListPath(file), std::move(*text)});
   }
-  const start::SavedChoice choice = start::ChooseSavedList(
+  start::SavedChoice choice = start::ChooseSavedList(
       files, start::SiteOf(start_.saved_list.site, config_.settings), machine_.WallClock(),
       static_cast<Micros>(start_.saved_list.oldest_s * static_cast<double>(kSecond)));
+  keeper_->Found(choice.last_number);
+  return choice;
+}
+
+// What the configuration came with may be older, or nothing.
+bool Program::UseSavedList() {
+  if (!keeper_) return false;
+  const start::SavedChoice choice = FindSavedList();
   for (const auto& [path, why] : choice.refused) log_.Tell<"saved_list_refused">(path, why);
   if (!choice.list) return false;
-  keeper_->Found(choice.list->number);
   if (choice.list->version < config_.known.version && !config_.known.hosts.empty()) return false;
   HostList list;
   list.version = choice.list->version;
@@ -239,6 +260,21 @@
   if (done) list_file_bad_ = false;
 }
 
+int Program::BeganBefore() {
+  if (start_.saved_list.folder.empty()) return 0;
+  const std::string path = KeptPath(".starts");
+  start::StartBook book(machine_.files().Read(path).value_or(""));
+  const Micros wall = machine_.WallClock();
+  const int before = book.Within(asking_->loop_span(), wall);
+  book.Add(wall);
+  std::string why;
+  if (!machine_.files().Replace(path, book.Text(), why) && !std::exchange(list_file_bad_, true)) {
+    log_.Tell<"saved_list_error">(path, why);
+  }
+  if (before > 0) log_.Tell<"start_again">(before, asking_->loop_span() / kMs);
+  return before;
+}
+
 // Where the start stands, whenever that changes.
 void Program::TellStart() {
   if (!asking_ || asking_->phase() == told_phase_) return;
@@ -255,6 +291,7 @@
     log_.Tell<"handover_refused">("nodes that can't be");
     return false;
   }
+  if (keeper_) FindSavedList();
   list_log_.emplace(machine_.scheduler(), hosts_, log_);
   log_.Tell<"taken_over">(estate.hosts.size(), hosts_.Out().size(), estate.carried.queries.size());
   std::string why;
@@ -512,6 +549,7 @@
 }
 
 void Program::Finish() {
+  if (asking_ && !start_.saved_list.folder.empty()) machine_.files().Remove(KeptPath(".starts"));
   if (capture_) capture_->Finish(kFinishFor);
   if (figures_) figures_->Finish(kFinishFor);
 }
--- a/src/serve/program.h
+++ b/src/serve/program.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -30,6 +31,7 @@
 #include "observe/log.h"
 #include "start/asking.h"
 #include "start/saved_list.h"
+#include "start/start_book.h"
 #include "upstream/http_upstream.h"
 
 namespace burlfall {
@@ -86,10 +88,14 @@
 
   Task<> Begin();
   void BeginAlone();
+  std::function<std::optional<Micros>(Micros)> NotReady();
   start::Asking* PaceFor(const std::optional<StartSettings>& start);
+  std::string KeptPath(const std::string& what) const;  // in the folder of the saved list
   std::string ListPath(int file) const;
+  start::SavedChoice FindSavedList();
   bool UseSavedList();
   void KeepList();
+  int BeganBefore();  // within a loop's span; and takes this start down
   void TellStart();
   bool TakeOver(const Estate& estate);
   void SetAside(bool aside);
--- a/src/start/asking.cpp
+++ b/src/start/asking.cpp
@@ -30,6 +30,8 @@
 constexpr Micros kMostWindow = 6;
 // What is left of the stretch after a list that came soon, and after a watch that ended well.
 constexpr double kEased = 0.6, kEasedByWatch = 0.85;
+constexpr Micros kLeastLoop = 60 * kSecond;  // starts that are further apart are no loop
+constexpr int kMostDoublings = 10;
 constexpr Micros kLeastRound = 20 * kMs;
 // Fewer that ask together do not disturb each other: nothing is put off for their sake.
 constexpr Micros kAlone = 250 * kMs;
@@ -68,7 +70,9 @@
   return std::min(alone <= due ? alone : Part(2 / kBothPart), kMostWindow * rules_.must_ask_within);
 }
 
-void Asking::Begin(Micros now, bool usable, double draw) {
+Micros Asking::loop_span() const { return std::max(kLeastLoop, 10 * round_); }
+
+void Asking::Begin(Micros now, bool usable, double draw, int before) {
   began_at_ = now;
   told_at_ = 0;
   watching_ = false;
@@ -77,6 +81,13 @@
   budget_ = kMostBudget;
   refilled_at_ = now;
   next_at_ = now;
+  if (before > 0) {
+    // Twice as long with each round: one that ends before its turn has come costs nothing.
+    const auto first = static_cast<double>(std::max(kAlone, round_ / 4));
+    const double wait = first * std::pow(2, std::min(before, kMostDoublings) - 1) * (0.75 + 0.5 * draw);
+    next_at_ = now + std::min(Rounded(wait), Longest());
+  }
+  const Micros after_loop = next_at_;
   if (round_ < kAlone) return;
   // The same for everyone but for the name: equal seeds, clocks and images are not the same place.
   const double chance = Fraction(static_cast<double>(who_ >> 11) * 0x1p-53 + draw);
@@ -89,7 +100,7 @@
   const double at = usable ? std::min(wide * (kUsableFrom + (kUsableTo - kUsableFrom) * place),
                                       due * (kUsableFrom + (1 - kUsableFrom) * place))
                            : wide * place;
-  next_at_ = now + Rounded(at);
+  next_at_ = std::max(after_loop, now + Rounded(at));
 }
 
 void Asking::Refill(Micros now) {
@@ -147,6 +158,13 @@
   next_at_ = std::max(next_at_, now + std::min(Rounded(missing), Longest()));
 }
 
+std::optional<Micros> Asking::Refuses(Micros now, Micros patience, double draw) const {
+  if (phase_ != StartPhase::kWithout) return std::nullopt;
+  const Micros wait = next_at_ - now;  // a call that is out may be answered at any time
+  if (wait <= patience / 2) return std::nullopt;
+  return wait + Rounded(static_cast<double>(std::max(kAlone, window() / 10)) * draw);
+}
+
 // So long that the watches of all together take a part of the service only, and no longer than the service
 // and the rule on what counts as told allow.
 Micros Asking::watch_wait() const {
--- a/src/start/asking.h
+++ b/src/start/asking.h
@@ -21,6 +21,7 @@
 #define BURLFALL_START_ASKING_H_
 
 #include <cstdint>
+#include <optional>
 
 #include "io/time.h"
 
@@ -60,7 +61,9 @@
   Asking(const AskRules& rules, uint64_t who);
 
   // The process has begun, or has another service to ask from now on. `usable`: it has a list to serve from.
-  void Begin(Micros now, bool usable, double draw);
+  // `before`: how often its process had begun within loop_span(), without an orderly end.
+  void Begin(Micros now, bool usable, double draw, int before = 0);
+  Micros loop_span() const;
   Micros next_at() const { return next_at_; }  // no call goes out before
   // A call goes out; `watch`: one that waits for news.
   void Called(Micros now, bool watch);
@@ -68,6 +71,10 @@
   // service asked for, 0: nothing.
   void Ended(Micros now, CallEnd how, Micros in_line, Micros retry_after, double draw);
 
+  // For a query with so much time, while there is no list: when its client should come back, where the list
+  // can't be there in half of that time. Drawn, so that the refused don't come back as one.
+  std::optional<Micros> Refuses(Micros now, Micros patience, double draw) const;
+
   // What a watch asks the service to wait at the longest.
   Micros watch_wait() const;
   // How long the answer to a call that does not wait is waited for: one that stands in line is not given up
--- a/src/start/saved_list.cpp
+++ b/src/start/saved_list.cpp
@@ -152,6 +152,7 @@
     std::string why;
     std::optional<SavedList> list = ReadSavedList(file.text, why);
     if (list) {
+      choice.last_number = std::max(choice.last_number, list->number);
       const Micros age = wall - list->heard_at;
       if (list->site != site) {
         why = "it is of another site";
--- a/src/start/saved_list.h
+++ b/src/start/saved_list.h
@@ -67,6 +67,7 @@
 struct SavedChoice {
   std::optional<SavedList> list;
   Micros age = 0;
+  uint64_t last_number = 0;                                  // of all that could be read, used or not
   std::vector<std::pair<std::string, std::string>> refused;  // path and reason
 };
 // The newest that may be used. `wall`: Unix time by the clock on the wall.
--- a/tests/start/asking_test.cpp
+++ b/tests/start/asking_test.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 
 #include "callers.h"
+#include "start/start_book.h"
 
 namespace burlfall::start {
 namespace {
@@ -106,6 +107,51 @@
   EXPECT_EQ(asking.budget(kT0), 3);
 }
 
+TEST(Asking, AProcessThatIsStartedAgainAndAgainCostsLessWithEachRound) {
+  // One that dies a second after each start, of a few balancers and of many.
+  for (const double balancers : {3.0, 300.0}) {
+    int calls = 0;
+    for (int round = 0; round < 60; ++round) {
+      Asking asking(Rules(balancers), 7);
+      const Micros now = kT0 + round * kSecond;
+      asking.Begin(now, true, 0.5, round);
+      EXPECT_LE(asking.next_at(), now + 32 * kSecond);
+      calls += asking.next_at() < now + kSecond;
+    }
+    EXPECT_LE(calls, 4) << balancers;
+  }
+}
+
+TEST(Asking, WithoutAListAQueryThatCannotWaitForItIsToldWhenToComeBack) {
+  Asking asking(Rules(), 7);
+  asking.Begin(kT0, false, 0);
+  asking.Called(kT0, false);
+  asking.Ended(kT0, CallEnd::kDown, 0, 0, 0.5);        // its next call is due after 1.2 rounds, 7.2 s
+  EXPECT_FALSE(asking.Refuses(kT0, 20 * kSecond, 0));  // it may wait
+  const auto first = asking.Refuses(kT0, kSecond, 0), last = asking.Refuses(kT0, kSecond, 0.999);
+  ASSERT_TRUE(first && last);
+  EXPECT_GE(*first, 7 * kSecond);
+  EXPECT_GT(*last, *first + 500 * kMs);
+  EXPECT_FALSE(
+      asking.Refuses(asking.next_at(), kSecond, 0));  // the call is out: the list may be there at once
+  asking.Called(asking.next_at(), false);
+  asking.Ended(asking.next_at(), CallEnd::kNews, 0, 0, 0);
+  EXPECT_FALSE(asking.Refuses(kT0 + kSecond, kSecond, 0));
+}
+
+TEST(StartBook, RemembersTheLastStartsAndMakesNothingOfWhatItCannotRead) {
+  StartBook book;
+  for (int i = 0; i < 40; ++i) book.Add(kT0 + i * kSecond);
+  const StartBook again(book.Text());
+  EXPECT_EQ(again.Text(), book.Text());
+  EXPECT_EQ(again.Within(3 * kSecond, kT0 + 39 * kSecond), 4);
+  EXPECT_EQ(again.Within(3600 * kSecond, kT0 + 39 * kSecond), 16);
+  EXPECT_EQ(again.Within(3600 * kSecond, kT0), 0);  // a clock that has stepped back
+  for (const char* text : {"", "burlfall-starts 12", "burlfall-starts 12 x\n", "what\n"}) {
+    EXPECT_EQ(StartBook(text).Within(kT0, kT0), 0) << text;
+  }
+}
+
 TEST(Asking, ItsPhaseIsWhatItHasAndWhatItWaitsFor) {
   Asking asking(Rules(), 7);
   asking.Begin(kT0, false, 0);
