--- a/src/io/machine.h
+++ b/src/io/machine.h
@@ -30,6 +30,9 @@
   virtual size_t ResidentBytes() = 0;    // of memory that it holds; 0: that can't be told
 
   Micros Now() { return scheduler().Now(); }
+  // Evenly from [0, 1), by the system's chance: of machines that were copied from one image, each draws its
+  // own.
+  double Draw() { return static_cast<double>(Entropy() >> 11) * 0x1p-53; }
 };
 
 }  // namespace burlfall
--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -45,9 +45,6 @@
       pace_(pace),
       asked_(scheduler_) {}
 
-// From the system each time: of machines that were copied from one image, each draws its own.
-double Discovery::Draw() { return static_cast<double>(machine_.Entropy() >> 11) * 0x1p-53; }
-
 void Discovery::Start() {
   watch_ = Watch();
   watch_.Start();
@@ -66,7 +63,7 @@
   watch_ = Task<>();
   link_.reset();
   following_ = true;
-  if (pace_ != nullptr) pace_->Begin(scheduler_.Now(), true, Draw());
+  if (pace_ != nullptr) pace_->BeginAnew(scheduler_.Now(), machine_.Draw());
   Start();
 }
 
@@ -88,12 +85,12 @@
                                                                      : kCallPatience);
     const Micros now = scheduler_.Now();
     if (answer.list) {
-      const bool news = fresh || version != answer.list->version;
+      const bool news = version != answer.list->version, first = fresh;
       fresh = false;
       version = answer.list->version;
       if (pace_ != nullptr) {
-        pace_->Ended(now, news ? start::CallEnd::kNews : start::CallEnd::kNothing, now - called_at, 0,
-                     Draw());
+        const start::CallEnd how = first || news ? start::CallEnd::kNews : start::CallEnd::kNothing;
+        pace_->Ended(now, how, now - called_at, 0, machine_.Draw());
       }
       told_(&*answer.list, answer.why);
       // Guards discovery, which is shared and slow, against a watch that is answered at once with no news.
@@ -103,7 +100,8 @@
       fresh = true;
       link_.reset();
       following_ = false;  // before anyone hears of it, who may ask again at once
-      if (pace_ != nullptr) pace_->Ended(now, answer.how, now - called_at, answer.retry_after, Draw());
+      if (pace_ != nullptr)
+        pace_->Ended(now, answer.how, now - called_at, answer.retry_after, machine_.Draw());
       told_(nullptr, answer.why);
     }
   }
--- a/src/membership/discovery.h
+++ b/src/membership/discovery.h
@@ -34,7 +34,6 @@
   };
   Task<> Watch();
   Task<Answer> Ask(std::string path, Micros patience);
-  double Draw();
 
   Scheduler& scheduler_;
   Network& network_;
--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -122,8 +122,7 @@
   if (!asking_) return {};
   return [this](Micros patience) -> std::optional<Micros> {
     if (hosts_.Ready() > 0) return std::nullopt;
-    const double draw = static_cast<double>(machine_.Entropy() >> 11) * 0x1p-53;
-    return asking_->Refuses(machine_.Now(), patience, draw);
+    return asking_->Refuses(machine_.Now(), patience, machine_.Draw());
   };
 }
 
@@ -155,8 +154,7 @@
   if (capture_) capture_->Start();
   began_at_ = machine_.Now();
   if (asking_) {
-    const double draw = static_cast<double>(machine_.Entropy() >> 11) * 0x1p-53;
-    asking_->Begin(began_at_, hosts_.Ready() > 0, draw, estate ? 0 : BeganBefore());
+    asking_->Begin(began_at_, hosts_.Ready() > 0, machine_.Draw(), estate ? 0 : BeganBefore());
   }
   discovery_.Start();
   dispatcher_.OnList(hosts_.AsItStands());
--- a/src/start/asking.cpp
+++ b/src/start/asking.cpp
@@ -27,7 +27,7 @@
 constexpr double kMostStretch = 16;
 constexpr double kMostBudget = 3;  // calls
 // Of the time of the rule on asking: a balancer without a list can break no rule, and is of no use either.
-constexpr Micros kMostWindow = 6;
+constexpr int kMostWindow = 6;
 // What is left of the stretch after a list that came soon, and after a watch that ended well.
 constexpr double kEased = 0.6, kEasedByWatch = 0.85;
 constexpr Micros kLeastLoop = 60 * kSecond;  // starts that are further apart are no loop
@@ -75,7 +75,7 @@
 void Asking::Begin(Micros now, bool usable, double draw, int before) {
   began_at_ = now;
   told_at_ = 0;
-  watching_ = false;
+  watching_ = out_ = failed_ = false;
   phase_ = usable ? StartPhase::kOlder : StartPhase::kWithout;
   stretch_ = 1;
   budget_ = kMostBudget;
@@ -103,6 +103,26 @@
   next_at_ = std::max(after_loop, now + Rounded(at));
 }
 
+void Asking::BeginAnew(Micros now, double draw) {
+  Refill(now);
+  const double kept = budget_;
+  // Until now it was told of all that there was to tell, where its watch was out.
+  const Micros told_at = out_ && watching_ ? now : told_at_;
+  const bool bound = told_at > 0 && !failed_;
+  Begin(now, phase_ != StartPhase::kWithout, draw);
+  told_at_ = told_at;
+  budget_ = kept;
+  const auto due = Rounded(kGiveWay * static_cast<double>(rules_.must_ask_within));
+  if (bound) next_at_ = std::min(next_at_, std::max(now, told_at + due));
+  if (budget_ < 1) next_at_ = std::max(next_at_, now + Missing());
+}
+
+// Until there is a call in the budget.
+Micros Asking::Missing() const {
+  const auto missing = (1 - budget_) * static_cast<double>(std::max(round_, kAlone));
+  return std::min(Rounded(missing), Longest());
+}
+
 void Asking::Refill(Micros now) {
   const double rounds =
       static_cast<double>(now - refilled_at_) / static_cast<double>(std::max(round_, kAlone));
@@ -120,11 +140,14 @@
   Refill(now);
   budget_ -= 1;
   watching_ = watch;
+  out_ = true;
   if (watch) phase_ = StartPhase::kFollowing;
 }
 
 void Asking::Ended(Micros now, CallEnd how, Micros in_line, Micros retry_after, double draw) {
   const bool heard = how == CallEnd::kNews || how == CallEnd::kNothing;
+  out_ = false;
+  failed_ = !heard;
   const auto due = Rounded(kGiveWay * static_cast<double>(rules_.must_ask_within));
   if (heard) {
     budget_ = kMostBudget;
@@ -153,9 +176,7 @@
   const Micros gap = Part(kLeastGap + (kMostGap - kLeastGap) * draw);
   next_at_ = now + std::min(std::max(gap, retry_after + (retry_after > 0 ? gap / 2 : 0)), Longest());
   Refill(now);
-  if (budget_ >= 1) return;
-  const auto missing = (1 - budget_) * static_cast<double>(std::max(round_, kAlone));
-  next_at_ = std::max(next_at_, now + std::min(Rounded(missing), Longest()));
+  if (budget_ < 1) next_at_ = std::max(next_at_, now + Missing());
 }
 
 std::optional<Micros> Asking::Refuses(Micros now, Micros patience, double draw) const {
--- a/src/start/asking.h
+++ b/src/start/asking.h
@@ -60,10 +60,14 @@
   // `who`: a hash of the balancer's name, which no other has.
   Asking(const AskRules& rules, uint64_t who);
 
-  // The process has begun, or has another service to ask from now on. `usable`: it has a list to serve from.
+  // The process has begun. `usable`: it has a list to serve from.
   // `before`: how often its process had begun within loop_span(), without an orderly end.
   void Begin(Micros now, bool usable, double draw, int before = 0);
   Micros loop_span() const;
+  // There is another service to ask from now on; whatever was out has been given up. All balancers may be
+  // told of it in one moment, so it is asked in turn, but no later than the rule on asking allows since the
+  // last answer. The budget goes on.
+  void BeginAnew(Micros now, double draw);
   Micros next_at() const { return next_at_; }  // no call goes out before
   // A call goes out; `watch`: one that waits for news.
   void Called(Micros now, bool watch);
@@ -92,6 +96,7 @@
   Micros Part(double rounds) const;  // of the round, stretched
   Micros Longest() const;            // between two calls, after a failure
   void Refill(Micros now);
+  Micros Missing() const;
 
   const AskRules rules_;
   const uint64_t who_;
@@ -100,6 +105,8 @@
   Micros began_at_ = 0;
   Micros told_at_ = 0;  // when it last heard a list; 0: not since it began
   bool watching_ = false;
+  bool out_ = false;     // a call is
+  bool failed_ = false;  // the last one
   StartPhase phase_ = StartPhase::kWithout;
   double stretch_ = 1;
   double budget_ = 0;
--- a/tests/start/asking_test.cpp
+++ b/tests/start/asking_test.cpp
@@ -152,6 +152,34 @@
   }
 }
 
+TEST(Asking, AnotherServiceIsAskedInTurnAndNoLaterThanTheRuleAllows) {
+  for (const double draw : {0.0, 0.5, 0.999}) {
+    Asking asking(Rules(), 7);
+    asking.Begin(kT0, false, draw);
+    asking.BeginAnew(kT0, draw);
+    EXPECT_EQ(asking.phase(), StartPhase::kWithout);  // another service is no list
+    asking.Called(kT0, false);
+    asking.Ended(kT0, CallEnd::kNews, 0, 0, draw);
+    const Micros now = kT0 + 8 * kSecond;  // it gives way, and has been told nothing since
+    asking.BeginAnew(now, draw);
+    EXPECT_LE(asking.next_at(), kT0 + 9 * kSecond);
+    asking.Called(now, true);
+    asking.BeginAnew(now + 5 * kSecond, draw);  // its watch was out until then
+    EXPECT_LE(asking.next_at(), now + 14 * kSecond);
+  }
+  // Told of another one on and on, a balancer among few does not empty it: its budget goes on.
+  Asking asking(Rules(60), 7);
+  asking.Begin(kT0, true, 0);
+  int calls = 0;
+  for (Micros now = kT0; now < kT0 + 10 * kSecond; now += 10 * kMs) {
+    asking.BeginAnew(now, 0);
+    if (asking.next_at() > now) continue;
+    asking.Called(now, false);
+    ++calls;
+  }
+  EXPECT_LE(calls, 12);
+}
+
 TEST(Asking, ItsPhaseIsWhatItHasAndWhatItWaitsFor) {
   Asking asking(Rules(), 7);
   asking.Begin(kT0, false, 0);
