--- a/tests/drills/drills_test.cpp
+++ b/tests/drills/drills_test.cpp
@@ -20,21 +20,6 @@
   return std::chrono::duration<double>(std::chrono::steady_clock::now() - since).count();
 }
 
-// Until it holds, for kPatience at most.
-template <typename Holds>
-bool Until(Holds holds) {
-  for (int i = 0; i < kPatience * 100; ++i) {
-    if (holds()) return true;
-    std::this_thread::sleep_for(milliseconds(10));
-  }
-  return holds();
-}
-
-std::string Text(const std::string& path) {
-  std::ifstream file(path);
-  return {std::istreambuf_iterator<char>(file), {}};
-}
-
 // Seconds of processor time that it has used.
 double Used(const Program& program) {
   const std::string text = Text("/proc/" + std::to_string(program.pid()) + "/stat");
--- a/tests/service/operators.h
+++ b/tests/service/operators.h
@@ -4,8 +4,12 @@
 
 #include <stdlib.h>
 
+#include <chrono>
 #include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <string>
+#include <thread>
 
 #include "stories/peers.h"
 
@@ -39,6 +43,19 @@
   link.Write(Ok("fine", "Connection: close\r\n"));
   return client.Read();
 }
+// Until it holds, for kPatience at most.
+template <typename Holds>
+bool Until(Holds holds) {
+  for (int i = 0; i < kPatience * 100; ++i) {
+    if (holds()) return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return holds();
+}
+inline std::string Text(const std::string& path) {
+  std::ifstream file(path);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
 inline int Up(uint16_t port) { return Call(port, "GET", "/up"); }
 
 }  // namespace burlfall
--- a/tests/start/start_test.cpp
+++ b/tests/start/start_test.cpp
@@ -1,28 +1,11 @@
 // Stories of starts, with the real process: the list from start to start, and what operators are told.
 #define CATCH_CONFIG_MAIN
-#include <sys/stat.h>
-
-#include <thread>
-
 #include "service/operators.h"
 #include "start/saved_list.h"
 
 namespace burlfall {
 namespace {
 
-using std::chrono::milliseconds;
-
-template <typename Holds>
-bool Until(Holds holds) {
-  for (int i = 0; i < kPatience * 100 && !holds(); ++i) std::this_thread::sleep_for(milliseconds(10));
-  return holds();
-}
-
-std::string Text(const std::string& path) {
-  std::ifstream file(path);
-  return {std::istreambuf_iterator<char>(file), {}};
-}
-
 // A folder, and the settings of a start that keep the list there.
 struct Kept {
   explicit Kept(const std::string& more = "")
