Members: balancers that know one another, through pauses, losses and one-sided cuts

Need: hundreds of balancers of a site knew nothing of each other; a detection of failures must not take a pause, a lossy network or a cut in one direction for a death.

Off without the file.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # The commit whose decisions `make bench` measures beside these, in the same run.
 BEFORE ?= d77f386
 
-.PHONY: demo build test sanitize bench fleet-start lint format run clean
+.PHONY: demo build test sanitize bench fleet-start members lint format run clean
 
 # Two balancers, twelve nodes, discovery and clients on loopback for 20 s; a node falls silent, a balancer dies.
 demo:
@@ -49,6 +49,13 @@
 	build/burlfall lab fleet run fleet-cold fleet-outage-10 fleet-outage-20 fleet-outage-60 fleet-saved --subject paced \
 		--out fleet-results
 
+# Clusters of up to 200 real processes, faults between them: about five minutes.
+members:
+	.ci/setup tools
+	cmake -B build -DCMAKE_BUILD_TYPE=Release -DBURLFALL_TOOLS=ON
+	cmake --build build -j$(JOBS)
+	build/burlfall lab members run steady killed-one killed-fifth cut-deaf cut-mute halves-1 --out members-results.json
+
 lint:
 	.ci/lint
 
--- a/src/io/network.h
+++ b/src/io/network.h
@@ -102,7 +102,11 @@
  public:
   virtual ~Network() = default;
   // A connection that is being made; nullptr where that failed at once.
-  virtual std::unique_ptr<Stream> Connect(const Address& to, NoConnection& why) = 0;
+  std::unique_ptr<Stream> Connect(const Address& to, NoConnection& why) {
+    return ConnectFrom(nullptr, to, why);
+  }
+  // From the host of `from`, at any port of it; nullptr: as the system chooses.
+  virtual std::unique_ptr<Stream> ConnectFrom(const Address* from, const Address& to, NoConnection& why) = 0;
   // Throws std::system_error where the address can't be had. Port 0: any that is free.
   virtual std::unique_ptr<Listener> Listen(const Address& at) = 0;
   // One that this process was given, and does not own: to leave it takes nothing from whoever holds it too.
--- a/src/io/real_network.cpp
+++ b/src/io/real_network.cpp
@@ -223,15 +223,29 @@
   Descriptor fd_;
 };
 
+// To the host alone: the port is found when it connects, so that one port serves many other sides.
+bool BoundTo(int fd, const Address* from) {
+  if (from == nullptr) return true;
+  sockaddr_storage host = from->storage;
+  if (host.ss_family == AF_INET6) {
+    reinterpret_cast<sockaddr_in6&>(host).sin6_port = 0;
+  } else {
+    reinterpret_cast<sockaddr_in&>(host).sin_port = 0;
+  }
+  const int later = 1;
+  setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &later, sizeof later);
+  return bind(fd, reinterpret_cast<const sockaddr*>(&host), from->length) == 0;
+}
+
 class RealNetwork final : public Network {
  public:
   explicit RealNetwork(RealScheduler& scheduler) : scheduler_(scheduler) {}
 
-  std::unique_ptr<Stream> Connect(const Address& to, NoConnection& why) override {
+  std::unique_ptr<Stream> ConnectFrom(const Address* from, const Address& to, NoConnection& why) override {
     Descriptor fd(socket(to.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     if (fd) {
       NoDelay(fd.get());
-      if (connect(fd.get(), to.get(), to.length) == 0 || errno == EINPROGRESS) {
+      if (BoundTo(fd.get(), from) && (connect(fd.get(), to.get(), to.length) == 0 || errno == EINPROGRESS)) {
         why = NoConnection::kNoRoom;
         return Watched(scheduler_, std::move(fd));
       }
--- a/src/lab/commands.cpp
+++ b/src/lab/commands.cpp
@@ -19,6 +19,7 @@
 #include "io/real_files.h"
 #include "lab/judge/compare.h"
 #include "lab/judge/history_file.h"
+#include "lab/members_command.h"
 #include "lab/report/report.h"
 #include "lab/report/table.h"
 #include "lab/run/play.h"
@@ -71,7 +72,7 @@
 int List(bool json, bool fleets) {
   auto all = nlohmann::ordered_json::array();
   for (const Shipped& one : AllShipped()) {
-    if (one.fleet != fleets) continue;
+    if (one.kind != (fleets ? Shipped::Kind::kFleet : Shipped::Kind::kExperiment)) continue;
     const std::optional<Experiment> e = Read({std::string(one.name) + ".toml", std::string(one.text)});
     if (!e) return kWrong;
     int nodes = 0;
@@ -439,6 +440,7 @@
          "goals were\n"
          "missed.",
          true, code);
+  AddMembers(lab, code);
   CLI::App* judge = lab.add_subcommand(
       "judge",
       "Judges a history again: history.jsonl of `run --history`, or one written by hand.\n"
--- a/src/lab/paths/paths.cpp
+++ b/src/lab/paths/paths.cpp
@@ -10,6 +10,8 @@
 constexpr size_t kMostFlights = 100000;   // datagrams on their way
 constexpr int kBacklog = 4096;
 constexpr Micros kOpenPatience = 3 * kSecond;
+constexpr int kAnybody = -1000;  // who connects says its host
+constexpr Micros kHeldLook = 50 * kMs;
 constexpr Micros kNoRoomPause = 20 * kMs;
 
 }  // namespace
@@ -38,6 +40,12 @@
   return local;
 }
 
+void Paths::Knows(const std::string& host, const std::string&, int who) { hosts_[host] = who; }
+
+Address Paths::OpenStreams(const Address& at, int to, const Address& real) {
+  return OpenStream(at, kAnybody, to, real);
+}
+
 void Paths::Set(int from, int to, const PathQuality& quality) {
   model_.Set(from, to, quality);
   const Micros now = machine_.Now();
@@ -90,8 +98,17 @@
     ++counts_.links;
     auto link = std::make_unique<Link>();
     link->door = &door;
+    int from = door.from;
+    if (from == kAnybody) {
+      const auto known = hosts_.find(HostOf(stream->Peer()));
+      if (known == hosts_.end()) {
+        stream->Reset();
+        continue;
+      }
+      from = known->second;
+    }
     link->near.stream = std::move(stream);
-    link->near.self = link->far.other = door.from;
+    link->near.self = link->far.other = from;
     link->near.other = link->far.self = door.to;
     Link& here = *link;
     here.place = links_.insert(links_.end(), std::move(link));
@@ -100,7 +117,37 @@
   }
 }
 
+// Until its path is whole, or whoever connected has given up.
+Task<> Paths::Held(Link& link) {
+  Stream& near = *link.near.stream;
+  while (Cut(link.near.self, link.near.other) && near.Quiet()) {
+    co_await near.Wait(machine_.Now() + kHeldLook);
+  }
+  // What it said meanwhile stays in the line.
+  while (Cut(link.near.self, link.near.other)) {
+    std::string bytes;
+    const Io io = near.Read(bytes);
+    if (io == Io::kSome) {
+      Piece piece;
+      piece.bytes = std::move(bytes);
+      link.far.held += piece.bytes.size();
+      link.far.coming.push_back(std::move(piece));
+      continue;
+    }
+    if (io == Io::kClosed || io == Io::kBroken) co_return;
+    co_await near.Wait(machine_.Now() + kHeldLook);
+  }
+}
+
 Task<> Paths::Run(Link& link) {
+  if (link.door->from == kAnybody && Cut(link.near.self, link.near.other)) {
+    co_await Held(link);
+    if (Cut(link.near.self, link.near.other)) {
+      Over(link);
+      co_return;
+    }
+    for (Piece& piece : link.far.coming) piece.at = machine_.Now();
+  }
   NoConnection why = NoConnection::kRefused;
   link.far.stream = machine_.network().Connect(link.door->real, why);
   bool up = false;
--- a/src/lab/paths/paths.h
+++ b/src/lab/paths/paths.h
@@ -38,6 +38,11 @@
 
   // Both throw std::system_error where the address can't be had. `at`: with port 0, any that is free.
   Address OpenStream(const Address& at, int from, int to, const Address& real);
+  // Whoever connects from this host, or sends datagrams from this address, is `who`.
+  void Knows(const std::string& host, const std::string& address, int who);
+  // Of any sender that is known by its host: one door for all that call `to`. While a path is cut, what comes
+  // in on it is taken and held, as a connection that comes up and then hears nothing.
+  Address OpenStreams(const Address& at, int to, const Address& real);
   // Where others send datagrams for `who`, which takes them at `real` and sends from there; they see each
   // other at these addresses alone. Who is not known here is not carried.
   Address OpenDatagrams(const Address& at, int who, const Address& real);
@@ -103,6 +108,7 @@
   void Settle(Door& door);
   Task<> Accept(Door& door);
   Task<> Run(Link& link);
+  Task<> Held(Link& link);
   Task<> Pump(Link& link, End& self, End& other);
   void Hear(End& self, End& other);
   bool Tell(End& self, End& other);  // whether it can take no more now
@@ -114,6 +120,7 @@
   Machine& machine_;
   PathModel model_;
   Counts counts_;
+  std::map<std::string, int> hosts_;
   std::list<std::unique_ptr<Door>> doors_;
   std::list<std::unique_ptr<Link>> links_;
   std::list<std::unique_ptr<Link>> over_;
--- a/src/lab/run/children.cpp
+++ b/src/lab/run/children.cpp
@@ -72,6 +72,7 @@
     start.program = settings_.command.front();
     start.arguments.assign(settings_.command.begin() + 1, settings_.command.end());
   }
+  start.arguments.insert(start.arguments.end(), spec.arguments.begin(), spec.arguments.end());
   start.environment.emplace_back(platform::kConfigVariable, folder_.Path(ConfigName(i)));
   auto tell = [&start](const char* variable, const std::string& value) {
     if (!value.empty()) start.environment.emplace_back(variable, value);
--- a/src/lab/run/children.h
+++ b/src/lab/run/children.h
@@ -26,12 +26,13 @@
   std::string name = {};
   std::string listen = {};
   std::string discovery = {};
-  std::string config = {};           // the configuration's JSON
-  std::string folder = {};           // its own, as its $TMPDIR; empty: none
-  uint64_t descriptors = 0;          // at most; 0: no limit of its own
-  uint64_t address_space_bytes = 0;  // likewise
-  std::vector<int> cores = {};       // that it may run on; empty: any
-  double cpu_share = 0;              // of one core, where the system lets us; 0: all
+  std::string config = {};                  // the configuration's JSON
+  std::string folder = {};                  // its own, as its $TMPDIR; empty: none
+  uint64_t descriptors = 0;                 // at most; 0: no limit of its own
+  uint64_t address_space_bytes = 0;         // likewise
+  std::vector<int> cores = {};              // that it may run on; empty: any
+  double cpu_share = 0;                     // of one core, where the system lets us; 0: all
+  std::vector<std::string> arguments = {};  // behind those that all have
 };
 
 struct ChildEnd {
--- a/src/lab/shipped.h
+++ b/src/lab/shipped.h
@@ -8,9 +8,11 @@
 namespace burlfall::lab {
 
 struct Shipped {
+  // Fleets are hundreds of processes, which `lab fleet` plays; members are scenarios of `lab members`.
+  enum class Kind { kExperiment, kFleet, kMembers };
   std::string_view name;  // the file's, without its ending
   std::string_view text;
-  bool fleet = false;  // hundreds of processes: `lab fleet` lists and plays them
+  Kind kind = Kind::kExperiment;
 };
 const std::vector<Shipped>& AllShipped();  // by name
 std::string_view ShippedStart();           // deploy/start.toml
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,6 +7,7 @@
 #include <exception>
 #include <filesystem>
 #include <iostream>
+#include <memory>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -28,12 +29,15 @@
 namespace options = boost::program_options;
 
 constexpr int kUsageError = 2;
+constexpr Micros kClusterPatience = 2 * kSecond;
 constexpr int64_t kLongestToken = 10 * 365 * 86400;
 constexpr char kUsage[] =
     "usage: burlfall COMMAND [OPTIONS]\n"
     "\n"
     "  serve          runs the balancer in the foreground until SIGTERM\n"
     "  check-config   reads the configuration, prints what it says and ends\n"
+    "  cluster        asks a balancer that runs with --cluster about the others: members, watch, "
+    "who-differs, explain\n"
     "  replay         feeds a capture to the decisions and prints where they differ\n"
     "  token issue    prints a token, signed with one of the operators' keys\n"
     "  lab            a site to try balancers on: load, experiments, reports (burlfall-lab)\n"
@@ -45,13 +49,15 @@
     "PROXY_DISCOVERY go before what it says. A balancer that runs prints its counters on SIGUSR1, and reads\n"
     "its files anew on SIGHUP. burlfall COMMAND --help tells a command's options.\n";
 
-int CheckConfig(const std::string& path, const std::string& start) {
+int CheckConfig(const std::string& path, const std::string& start, const std::string& cluster) {
   RealMachine machine;
   const auto environment = [](const char* name) -> const char* { return std::getenv(name); };
   Config config = LoadConfig(environment, machine.files());
   const Properties properties = path.empty() ? Properties() : LoadProperties(path, machine.files());
   std::string wrong;
-  if (!start.empty() && !ReadStart(start, machine.files(), wrong)) {
+  if (!start.empty()) ReadStart(start, machine.files(), wrong);
+  if (!cluster.empty()) ReadCluster(cluster, machine.files(), wrong);
+  if (!wrong.empty()) {
     std::cerr << wrong;
     return kUsageError;
   }
@@ -105,6 +111,72 @@
   return !given.contains("help");
 }
 
+// Asks the process at the Unix socket, and prints what it says.
+int AskOnce(const std::string& socket, const std::string& question) {
+  RealMachine machine;
+  const std::unique_ptr<Channel> channel = machine.network().Meet(socket);
+  if (!channel) {
+    std::cerr << "burlfall: nobody answers at " << socket << "\n";
+    return 1;
+  }
+  bool answered = false;
+  auto asking = [&]() -> Task<> {
+    const Micros until = machine.Now() + kClusterPatience;
+    Io io = channel->Send(question);
+    while (io == Io::kLater && co_await channel->Wait(until)) io = channel->Send(question);
+    std::string piece;
+    std::unique_ptr<Stream> along;
+    while (io == Io::kSome) {
+      const Io came = channel->Receive(piece, along);
+      if (came == Io::kSome) {
+        answered = true;
+        std::cout << piece;
+      } else if (came != Io::kLater || !co_await channel->Wait(until)) {
+        break;
+      }
+    }
+    machine.scheduler().Stop();
+  };
+  Task<> task = asking();
+  task.Start();
+  machine.scheduler().Run();
+  if (!answered) std::cerr << "burlfall: no answer at " << socket << "\n";
+  return answered ? 0 : 1;
+}
+
+int AskCluster(const std::vector<std::string>& words) {
+  options::variables_map given;
+  int code = 0;
+  std::string socket;
+  options::options_description known(
+      "burlfall cluster members|watch|who-differs|explain NAME --socket PATH [--json]");
+  known.add_options()(
+      "socket", options::value(&socket)->value_name("PATH")->required(),
+      "the balancer's socket: burlfall-NAME.cluster in the folder that its cluster.toml names")("json",
+                                                                                                "as JSON");
+  const bool asks = !words.empty() && (words[0] == "--help" || words[0] == "-h");
+  if (words.empty()) return UsageError("cluster knows members, watch, who-differs and explain NAME");
+  const std::string what = words[0];
+  const bool explain = what == "explain";
+  if (!asks && what != "members" && what != "watch" && what != "who-differs" && !explain) {
+    return UsageError("cluster does not know " + what);
+  }
+  if (explain && (words.size() < 2 || words[1].starts_with("--"))) return UsageError("explain whom?");
+  const size_t own = asks ? 0 : explain ? 2 : 1;
+  if (!Options(known, {words.begin() + static_cast<std::ptrdiff_t>(own), words.end()}, given, code))
+    return code;
+  std::string question = explain ? "explain " + words[1] : what == "watch" ? "members" : what;
+  if (given.contains("json")) question += " json";
+  if (what != "watch") return AskOnce(socket, question);
+  while (true) {
+    const bool screen = isatty(STDOUT_FILENO) != 0 && !given.contains("json");
+    if (screen) std::cout << "\x1b[H\x1b[2J";
+    if (AskOnce(socket, question) != 0) return 1;
+    std::cout << std::flush;
+    sleep(1);
+  }
+}
+
 int Run(const std::vector<std::string>& words) {
   if (words.empty()) return UsageError("no command");
   const std::string& command = words.front();
@@ -118,14 +190,18 @@
   }
   if (command == "serve" || command == "check-config") {
     const bool serve = command == "serve";
-    std::string format = "text", start;
-    options::options_description known("burlfall " + command + " [--config FILE] [--start FILE]" +
+    std::string format = "text", start, cluster;
+    options::options_description known("burlfall " + command +
+                                       " [--config FILE] [--start FILE] [--cluster FILE]" +
                                        (serve ? " [--log-format text|json]" : ""));
     known.add_options()("config", options::value(&file)->value_name("FILE"),
                         "the operators' properties; without them every feature is off");
     known.add_options()(
         "start", options::value(&start)->value_name("FILE"),
         "how a start spares the list service and the nodes (deploy/start.toml); without it, not");
+    known.add_options()(
+        "cluster", options::value(&cluster)->value_name("FILE"),
+        "how it knows the other balancers (deploy/cluster.toml); without it, it knows of none");
     if (serve) {
       known.add_options()("log-format", options::value(&format)->value_name("FORMAT"),
                           "text, or json: each event of the log as one line of JSON");
@@ -133,10 +209,12 @@
     if (!Options(known, rest, given, code)) return code;
     if (given.contains("config") && file.empty()) return UsageError("--config names no file");
     if (given.contains("start") && start.empty()) return UsageError("--start names no file");
+    if (given.contains("cluster") && cluster.empty()) return UsageError("--cluster names no file");
     const std::optional<LogFormat> log = ReadLogFormat(format);
     if (!log) return UsageError("--log-format is text or json");
-    return serve ? Serve(file, *log, start) : CheckConfig(file, start);
+    return serve ? Serve(file, *log, start, cluster) : CheckConfig(file, start, cluster);
   }
+  if (command == "cluster") return AskCluster(rest);
   if (command == "token") {
     std::string key, holder, classes;
     int64_t ttl = 0;
--- a/src/observe/counters.cpp
+++ b/src/observe/counters.cpp
@@ -32,6 +32,11 @@
   rare("capture_dropped", capture_dropped);
   rare("capture_errors", capture_errors);
   rare("figures_dropped", figures_dropped);
+  rare("cluster_alive", cluster_alive);
+  rare("cluster_in", cluster_in);
+  rare("cluster_out", cluster_out);
+  rare("cluster_bytes_out", cluster_bytes_out);
+  rare("cluster_calls", cluster_calls);
   rare("log_dropped", log_dropped);
   return all;
 }
--- a/src/observe/counters.h
+++ b/src/observe/counters.h
@@ -37,7 +37,12 @@
   uint64_t denied = 0;           // turned away for their token
   uint64_t limited = 0;          // turned away by the door limits
   uint64_t not_ready = 0;        // turned away by a start that has no list yet
-  uint64_t log_dropped = 0;      // lines of the log that found no room
+  uint64_t cluster_alive = 0;    // members, this one among them
+  uint64_t cluster_in = 0;       // datagrams
+  uint64_t cluster_out = 0;
+  uint64_t cluster_bytes_out = 0;  // of datagrams
+  uint64_t cluster_calls = 0;      // connections to other members
+  uint64_t log_dropped = 0;        // lines of the log that found no room
 
   std::vector<std::pair<const char*, uint64_t>> All() const;  // that there is something to tell of
   std::string Text() const;                                   // one line: name=value ...
--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -69,7 +69,7 @@
 }  // namespace
 
 Program::Program(Machine& machine, Config config, const Properties& properties, Log& log, Counters& counters,
-                 const std::optional<StartSettings>& start)
+                 const std::optional<StartSettings>& start, const std::optional<ClusterSettings>& cluster)
     : machine_(machine),
       config_(std::move(config)),
       log_(log),
@@ -105,6 +105,39 @@
   }
   dispatcher_.Observe(figures_.get(), capture_.get());
   front_.OnNothingOwed([this] { moved_.Notify(); });
+  if (cluster) Join(*cluster);
+}
+
+void Program::Join(const ClusterSettings& cluster) {
+  ClusterMember::Setup setup;
+  setup.name = config_.name;
+  if (!cluster.folder.empty()) {
+    Config named = config_;
+    if (cluster.folder != kOwnFolder) named.folder = cluster.folder;
+    if (!named.folder.empty()) setup.socket = PathFor(named, ".cluster");
+  }
+  setup.facts = [this, zone = cluster.zone] {
+    cluster::Facts facts = FactsNow();
+    facts.zone = zone;
+    return facts;
+  };
+  setup.list_behind = [this] { discovery_.Again(); };
+  member_.emplace(machine_, cluster, std::move(setup), log_, counters_);
+}
+
+// What other balancers are told of this one.
+cluster::Facts Program::FactsNow() const {
+  cluster::Facts facts;
+  facts.build = BURLFALL_VERSION;
+  facts.phase = static_cast<uint8_t>(phase_);
+  facts.configuration = cluster::DigestOf(config_.settings_json);
+  facts.list_version = hosts_.version();
+  const Micros wall = machine_.WallClock();
+  facts.list_age_ms = heard_at_ == 0 ? 0 : static_cast<uint64_t>(std::max<Micros>(0, wall - heard_at_) / kMs);
+  const size_t most = budget_.most();
+  facts.used_percent =
+      most == 0 ? 0 : static_cast<uint8_t>(std::min<size_t>(100, 100 * budget_.open() / most));
+  return facts;
 }
 
 start::Asking* Program::PaceFor(const std::optional<StartSettings>& start) {
@@ -172,6 +205,7 @@
     aside_since_ = estate->aside_since;
   }
   if (handover_) handover_->Serve();
+  if (member_) member_->Start();
   log_.Tell<"serving">(config_.name, Shown(config_.listen, front_.port()));
   if (asking_) {
     told_phase_ = asking_->phase();
@@ -572,6 +606,7 @@
     }
   }
   if (handover_) handover_->End();
+  if (member_) member_->Leave();
   co_await Closing();
   phase_ = Phase::kStopped;
   machine_.scheduler().Stop();
--- a/src/serve/program.h
+++ b/src/serve/program.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "config/cluster_settings.h"
 #include "config/platform_config.h"
 #include "config/properties.h"
 #include "config/start_settings.h"
@@ -22,6 +23,7 @@
 #include "handover/handover.h"
 #include "io/machine.h"
 #include "links/budget.h"
+#include "member/member.h"
 #include "membership/discovery.h"
 #include "membership/host_group.h"
 #include "membership/list_log.h"
@@ -50,9 +52,10 @@
  public:
   // Binds the addresses; throws std::system_error where that can't be done. `log` and `counters` must outlive
   // it.
-  // `start`: the operators' settings of the start; without them nothing of src/start is on.
+  // `start`: the operators' settings of the start; without them nothing of src/start is on. `cluster`: those
+  // of the cluster; without them it knows of no other balancer.
   Program(Machine& machine, Config config, const Properties& properties, Log& log, Counters& counters,
-          const std::optional<StartSettings>& start = {});
+          const std::optional<StartSettings>& start = {}, const std::optional<ClusterSettings>& cluster = {});
 
   void Start();
   void Drain();  // ends, in order: the scheduler stops once it has
@@ -97,6 +100,9 @@
   void KeepList();
   int BeganBefore();  // within a loop's span; and takes this start down
   void TellStart();
+  void Join(const ClusterSettings& cluster);
+  cluster::Facts FactsNow() const;
+  std::string build_;
   bool TakeOver(const Estate& estate);
   void SetAside(bool aside);
   void TellUse();
@@ -134,6 +140,7 @@
   HttpFront front_;
   std::optional<ControlFront> control_;
   std::optional<Handover> handover_;
+  std::optional<ClusterMember> member_;
   Phase phase_ = Phase::kStarting;
   Phase before_hand_on_ = Phase::kServing;
   bool end_asked_ = false;  // before it served
--- a/src/serve/serve.cpp
+++ b/src/serve/serve.cpp
@@ -67,17 +67,28 @@
   }
 }
 
-}  // namespace
-
-std::optional<StartSettings> ReadStart(const std::string& path, Files& files, std::string& errors) {
+template <class Settings>
+std::optional<Settings> ReadSettings(Loaded<Settings> (*parse)(std::string_view, std::string_view),
+                                     const std::string& path, Files& files, std::string& errors) {
   const std::optional<std::string> text = files.Read(path);
   if (!text) throw BadConfig(path + ": can't be read");
-  Loaded<StartSettings> loaded = ParseStart(path, *text);
+  Loaded<Settings> loaded = parse(path, *text);
   for (const ConfigError& error : loaded.errors) errors += "burlfall: " + error.Line() + "\n";
   return std::move(loaded.value);
 }
 
-int Serve(const std::string& path, LogFormat format, const std::string& start_path) {
+}  // namespace
+
+std::optional<StartSettings> ReadStart(const std::string& path, Files& files, std::string& errors) {
+  return ReadSettings(ParseStart, path, files, errors);
+}
+
+std::optional<ClusterSettings> ReadCluster(const std::string& path, Files& files, std::string& errors) {
+  return ReadSettings(ParseCluster, path, files, errors);
+}
+
+int Serve(const std::string& path, LogFormat format, const std::string& start_path,
+          const std::string& cluster_path) {
   // Before all else: a signal that comes while the program starts must wait, not end it.
   RealMachine machine;
   ProcessSignals signals(machine.scheduler(), {SIGTERM, SIGINT, SIGUSR1, SIGHUP});
@@ -87,18 +98,18 @@
   Config config = LoadConfig(environment, machine.files());
   const Properties properties = ReadProperties(path, machine.files());
   std::optional<StartSettings> start;
-  if (!start_path.empty()) {
-    std::string wrong;
-    start = ReadStart(start_path, machine.files(), wrong);
-    if (!start) {
-      std::fputs(wrong.c_str(), stderr);
-      return kUnusableFile;
-    }
+  std::optional<ClusterSettings> cluster;
+  std::string wrong;
+  if (!start_path.empty()) start = ReadStart(start_path, machine.files(), wrong);
+  if (!cluster_path.empty()) cluster = ReadCluster(cluster_path, machine.files(), wrong);
+  if (!wrong.empty()) {
+    std::fputs(wrong.c_str(), stderr);
+    return kUnusableFile;
   }
   Outlet errors(machine.scheduler(), machine.StandardError());
   Counters counters;
   Log log(machine.scheduler(), errors, format, counters);
-  Program program(machine, config, properties, log, counters, start);
+  Program program(machine, config, properties, log, counters, start, cluster);
   log.Tell<"starting">(config.name, BURLFALL_VERSION, config.discovery.text, config.known.hosts.size(),
                        program.descriptors(), properties.On());
   Task<> hearing = HearSignals(signals, program, path, machine.files(), log);
--- a/src/tools/kinds.cpp
+++ b/src/tools/kinds.cpp
@@ -1,6 +1,8 @@
 #include "config/kinds.h"
 
+#include "config/cluster_settings.h"
 #include "config/start_settings.h"
+#include "lab/members/scenario.h"
 #include "lab/script/experiment_file.h"
 
 namespace burlfall {
@@ -10,6 +12,9 @@
   static const std::vector<Kind> kKinds = {
       {"start", "how a balancer's start spares the list service and the nodes", StartSchema().Spec(),
        "list_service"},
+      {"cluster", "how a balancer knows the others of its site", ClusterSchema().Spec(), "seeds"},
+      {"members", "what a cluster of members goes through in the laboratory", lab::ScenarioSchema().Spec(),
+       "goals"},
       {"experiment", "what the laboratory plays", lab::ExperimentSchema().Spec(), "classes"},
   };
   return kKinds;
--- a/src/world/virtual_machine.cpp
+++ b/src/world/virtual_machine.cpp
@@ -246,13 +246,14 @@
  public:
   VirtualNetwork(World& world, VirtualMachine& machine) : world_(world), machine_(machine) {}
 
-  std::unique_ptr<Stream> Connect(const Address& to, NoConnection& why) override {
+  std::unique_ptr<Stream> ConnectFrom(const Address* from, const Address& to, NoConnection& why) override {
     if (machine_.open >= machine_.descriptors) {
       why = NoConnection::kNoRoom;
       return nullptr;
     }
     auto one = std::make_shared<Connection>();
-    one->sides[0].at = At("127.0.0.1:" + std::to_string(NextPort()));
+    const std::string host = from == nullptr ? "127.0.0.1" : HostOf(*from);
+    one->sides[0].at = At(host + ":" + std::to_string(NextPort()));
     one->sides[1].at = to;
     const auto listener = world_.listeners.find(to.text);
     one->state = listener == world_.listeners.end() ? Stream::State::kFailed
--- a/tests/lab/experiment_file_test.cpp
+++ b/tests/lab/experiment_file_test.cpp
@@ -155,6 +155,7 @@
   std::set<FaultKind> kinds;
   for (const auto& entry : std::filesystem::recursive_directory_iterator(EXPERIMENTS)) {
     if (entry.is_directory()) continue;
+    if (entry.path().parent_path().filename() == "members") continue;  // tests/cluster holds those
     const bool fleet = entry.path().parent_path().filename() == "fleets";
     SCOPED_TRACE(entry.path().filename());
     const Experiment e = Shipped(entry.path().stem());
