Members: an upgrade is a new life in its place, calls for lists follow the members known

Change: the address is bound when the process has the door, and tried again while it can't be had (event cluster_unavailable); the old process falls silent as it hands on, and joins again where the hand-over is taken back. Seeds out of view are called every 10 s. Without a configured count, start spreads its calls over the members known within ten minutes, at least the settings' count.

--- a/src/cluster/mind.cpp
+++ b/src/cluster/mind.cpp
@@ -24,7 +24,7 @@
 constexpr Micros kToldDeadFor = 5 * kSecond;
 constexpr size_t kToldDeadBy = 2;
 constexpr Micros kSeedFirst = 500 * kMs, kSeedMost = 5 * kSecond;  // between calls of one that is alone
-constexpr Micros kYoungFor = 20 * kSecond, kSeedYoung = 1500 * kMs, kSeedStrange = 30 * kSecond;
+constexpr Micros kYoungFor = 20 * kSecond, kSeedYoung = 1500 * kMs, kSeedStrange = 10 * kSecond;
 constexpr Micros kCallPatience = 1 * kSecond;
 constexpr Micros kCallFast = 200 * kMs, kCallFastFor = 5 * kSecond;
 constexpr Micros kForgetEvery = 1 * kSecond;
--- a/src/lab/members/scenario.cpp
+++ b/src/lab/members/scenario.cpp
@@ -32,7 +32,9 @@
       .Between(0, 100000);
   s.Key("until_s", &MemberFault::until_s, "it doesn't begin again after that").Unit("s").Between(0, 100000);
   s.Key("who", &MemberFault::who,
-        "one, all, half, third, fifth, tenth, most (all but one), a number, zone:NAME or name:NAME")
+        "one, all, half, third, fifth, tenth, most (all but one), a number, zone:NAME, not:NAME (all zones "
+        "but that) or "
+        "name:NAME")
       .Length(1, 100);
   s.Key("to", &MemberFault::to, "of paths: as who, or rest (all others)").Length(1, 100);
   s.Key("both_ways", &MemberFault::both_ways, "of paths: in the other direction as well");
@@ -93,6 +95,7 @@
   if (word == "tenth") return drawn(n / 10);
   if (word == "most") return drawn(n - 1);
   if (word.starts_with("zone:")) return those([&](size_t i) { return plan.zones[i] == word.substr(5); });
+  if (word.starts_with("not:")) return those([&](size_t i) { return plan.zones[i] != word.substr(4); });
   if (word.starts_with("name:")) return those([&](size_t i) { return plan.names[i] == word.substr(5); });
   if (!word.empty() && word.size() < 7 &&
       std::ranges::all_of(word, [](char c) { return c >= '0' && c <= '9'; })) {
--- a/src/member/member.cpp
+++ b/src/member/member.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <system_error>
 #include <utility>
 
 #include "cluster/differs.h"
@@ -85,14 +86,31 @@
       listen_(Needed(settings.listen)),
       mind_(RulesOf(settings), SelfOf(settings, setup_.name, machine.WallClock()), settings.seeds,
             machine.Entropy()),
-      socket_(machine.network().Bind(listen_)),
-      listener_(machine.network().Listen(listen_)),
       refresh_(machine.scheduler()),
       room_(machine.scheduler()) {}
 
 ClusterMember::~ClusterMember() = default;
 
 void ClusterMember::Start() {
+  opening_ = Open();
+  opening_.Start();
+}
+
+Task<> ClusterMember::Open() {
+  bool told = false;
+  while (!socket_) {
+    std::string why;
+    try {
+      auto listener = machine_.network().Listen(listen_);
+      socket_ = machine_.network().Bind(listen_);
+      listener_ = std::move(listener);
+    } catch (const std::system_error& e) {
+      why = e.what();
+    }
+    if (socket_) break;
+    if (!std::exchange(told, true)) log_.Tell<"cluster_unavailable">(settings_.listen, why);
+    co_await room_.Wait(machine_.Now() + kTellLate);
+  }
   mind_.Tell(setup_.facts());
   mind_.Begin(machine_.Now());
   log_.Tell<"cluster_serving">(settings_.site, mind_.self().address);
@@ -115,6 +133,7 @@
 }
 
 void ClusterMember::Leave() {
+  if (!socket_) return;
   mind_.Leave(machine_.Now());
   Settle();
 }
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -29,10 +29,12 @@
     std::function<void()> list_behind = [] {};
   };
 
-  // Binds the addresses; throws std::system_error where that can't be done. `log` must outlive it.
+  // `log` and `counters` must outlive it.
   ClusterMember(Machine& machine, const ClusterSettings& settings, Setup setup, Log& log, Counters& counters);
   ~ClusterMember();
 
+  // Binds the addresses, and tries again for as long as they can't be had: the process before may still hold
+  // them, and service goes on meanwhile.
   void Start();
   void Leave();  // says so to the others, and is silent from then on
   const cluster::Mind& mind() const { return mind_; }
@@ -49,6 +51,7 @@
     Task<> task;
   };
 
+  Task<> Open();
   Task<> Listen();
   Task<> Accept();
   Task<> Answer(Link& link);
@@ -79,8 +82,9 @@
   Micros behind_since_ = 0;           // others have a newer list; 0: they have not
   std::vector<std::string> history_;  // the last notices, for `explain`
   Event refresh_;
-  Event room_;        // for a connection
-  Task<> listening_;  // the tasks last: what they use must outlive them
+  Event room_;      // for a connection
+  Task<> opening_;  // the tasks last: what they use must outlive them
+  Task<> listening_;
   Task<> accepting_;
   Task<> awaiting_;
   Task<> refreshing_;
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -295,6 +295,12 @@
      "cluster {site}: this member is reached at {address}",
      "With `--cluster`: its address is bound, and others are looked for.",
      {{{"site", kText, "the site's name"}, {"address", kText, "where others reach it"}}}},
+    {"cluster_unavailable",
+     LogLevel::kWarning,
+     "cluster: {address} can't be bound: {why}; it is tried again",
+     "The process before may still hold it, as in an upgrade. Service goes on; others don't see this member "
+     "yet.",
+     {{{"address", kText, "as the settings name it"}, {"why", kText, "the system's word"}}}},
     {"cluster_socket_unavailable",
      LogLevel::kWarning,
      "cluster: nobody can ask at {path}: {why}",
--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -15,7 +15,8 @@
 constexpr Micros kDrainFor = 800 * kMs;
 constexpr Micros kCloseFor = 300 * kMs;  // for links that owe nothing
 constexpr Micros kCloseStep = 20 * kMs;
-constexpr Micros kFinishFor = 300 * kMs;  // for the last lines, where what takes them is slow
+constexpr Micros kFinishFor = 300 * kMs;      // for the last lines, where what takes them is slow
+constexpr Micros kCountsFor = 600 * kSecond;  // members that were lost from sight
 constexpr Micros kSweepEvery = 500 * kMs;
 // Drained by hand: the front has looked away by then, and links that are not in use may close.
 constexpr Micros kAsideThinAfter = 600 * kMs;
@@ -87,6 +88,7 @@
           machine.scheduler(), config_.settings, config_.seed, upstream_, [this] { discovery_.Follow(); },
           counters_),
       front_({machine, config_, dispatcher_, budget_, tokens_, door_, figures_.get(), counters_, NotReady()}),
+      cluster_(cluster),
       moved_(machine.scheduler()),
       sweep_(machine.scheduler()) {
   if (config_.admin.length > 0)
@@ -105,10 +107,12 @@
   }
   dispatcher_.Observe(figures_.get(), capture_.get());
   front_.OnNothingOwed([this] { moved_.Notify(); });
-  if (cluster) Join(*cluster);
 }
 
-void Program::Join(const ClusterSettings& cluster) {
+// As a member of the cluster. Of the two processes of an upgrade it is the one that has the door.
+void Program::Join() {
+  if (!cluster_) return;
+  const ClusterSettings& cluster = *cluster_;
   ClusterMember::Setup setup;
   setup.name = config_.name;
   if (!cluster.folder.empty()) {
@@ -123,6 +127,7 @@
   };
   setup.list_behind = [this] { discovery_.Again(); };
   member_.emplace(machine_, cluster, std::move(setup), log_, counters_);
+  member_->Start();
 }
 
 // What other balancers are told of this one.
@@ -205,7 +210,7 @@
     aside_since_ = estate->aside_since;
   }
   if (handover_) handover_->Serve();
-  if (member_) member_->Start();
+  Join();
   log_.Tell<"serving">(config_.name, Shown(config_.listen, front_.port()));
   if (asking_) {
     told_phase_ = asking_->phase();
@@ -470,6 +475,7 @@
   phase_ = Phase::kHandedOver;
   log_.Tell<"handed_over">(front_.open(), dispatcher_.open());
   front_.Shut();
+  member_.reset();  // without a word: the heir goes on in its place, and nobody misses it
   hosts_.LeaveCold(true, machine_.Now());
   HostsChanged();
   upstream_.RetireAll();
@@ -486,6 +492,7 @@
   phase_ = before_hand_on_;
   front_.PassOn(nullptr);
   front_.Reopen();
+  Join();
   hosts_.LeaveCold(false, machine_.Now());
   HostsChanged();
   moved_.Notify();
@@ -651,9 +658,18 @@
     KeepOutLate();
     KeepList();
     TellStart();
+    ShareByMembers();
   }
 }
 
+// Where nobody configured how many balancers share the list service, those that are known do; a view that has
+// just shrunk counts as it was.
+void Program::ShareByMembers() {
+  if (!asking_ || !member_ || start_.balancers > 0) return;
+  const size_t known = member_->mind().MostWithin(machine_.Now(), kCountsFor);
+  asking_->SharedBy(std::max<double>(config_.settings.nodes, static_cast<double>(known)));
+}
+
 // At the edges alone, and far apart, so that a budget that is nearly used up makes few lines.
 void Program::TellDescriptors() {
   const size_t open = budget_.open(), most = budget_.most();
--- a/src/serve/program.h
+++ b/src/serve/program.h
@@ -100,9 +100,9 @@
   void KeepList();
   int BeganBefore();  // within a loop's span; and takes this start down
   void TellStart();
-  void Join(const ClusterSettings& cluster);
+  void ShareByMembers();
+  void Join();
   cluster::Facts FactsNow() const;
-  std::string build_;
   bool TakeOver(const Estate& estate);
   void SetAside(bool aside);
   void TellUse();
@@ -140,6 +140,7 @@
   HttpFront front_;
   std::optional<ControlFront> control_;
   std::optional<Handover> handover_;
+  const std::optional<ClusterSettings> cluster_;
   std::optional<ClusterMember> member_;
   Phase phase_ = Phase::kStarting;
   Phase before_hand_on_ = Phase::kServing;
--- a/src/start/asking.cpp
+++ b/src/start/asking.cpp
@@ -57,6 +57,11 @@
 
 Asking::Asking(const AskRules& rules, uint64_t who) : rules_(rules), who_(who), round_(RoundOf(rules)) {}
 
+void Asking::SharedBy(double balancers) {
+  rules_.balancers = balancers;
+  round_ = RoundOf(rules_);
+}
+
 Micros Asking::Part(double rounds) const { return Rounded(static_cast<double>(round_) * rounds * stretch_); }
 
 Micros Asking::Longest() const {
--- a/src/start/asking.h
+++ b/src/start/asking.h
@@ -68,6 +68,8 @@
   // told of it in one moment, so it is asked in turn, but no later than the rule on asking allows since the
   // last answer. The budget goes on.
   void BeginAnew(Micros now, double draw);
+  // So many balancers ask the service, as is known by now; calls from then on keep to it.
+  void SharedBy(double balancers);
   Micros next_at() const { return next_at_; }  // no call goes out before
   // A call goes out; `watch`: one that waits for news.
   void Called(Micros now, bool watch);
@@ -98,9 +100,9 @@
   void Refill(Micros now);
   Micros Missing() const;
 
-  const AskRules rules_;
+  AskRules rules_;
   const uint64_t who_;
-  const Micros round_;
+  Micros round_;
   Micros next_at_ = 0;
   Micros began_at_ = 0;
   Micros told_at_ = 0;  // when it last heard a list; 0: not since it began
--- a/tests/service/upgrade_test.cpp
+++ b/tests/service/upgrade_test.cpp
@@ -326,4 +326,38 @@
   CHECK(folder.output == "burlfall: TMPDIR: /nowhere: No such file or directory\n");
 }
 
+TEST_CASE("an upgrade of a cluster's member is a new life in its place: nobody misses it or holds it dead") {
+  Platform platform;
+  // Loopback has addresses to spare: one for this process, which no other test takes.
+  const int pid = getpid();
+  std::string host("127.77.");
+  host.append(std::to_string(pid / 250 % 250)).append(".").append(std::to_string(1 + pid % 250));
+  auto settings = [&](const char* port) {
+    std::string text = "site = \"s\"\nlisten = \"" + host;
+    text.append(":").append(port).append("\"\nfolder = \"").append(platform.folder.path);
+    return text.append("\"\nseeds = [\"")
+        .append(host)
+        .append(":7946\", \"")
+        .append(host)
+        .append(":7947\"]\n");
+  };
+  const TextFile one(settings("7946")), two(settings("7947"));
+  Program old(SiteText(""), {"serve", "--cluster", one.path}, nullptr, platform.world());
+  Program other(SiteText(""), {"serve", "--cluster", two.path}, nullptr,
+                {.variables = {{"PROXY_NAME", "n2"}}});
+  REQUIRE(Says(other, "n1 is there"));
+  REQUIRE(Says(old, "n2 is there"));
+  Program heir(SiteText(""), {"serve", "--cluster", one.path}, nullptr, platform.world());
+  CHECK(old.Wait() == 0);
+  CHECK(Says(heir, "n2 is there"));
+  REQUIRE(Says(other, "n1 is there, again"));
+  // Longer than a suspicion lasts: a member that was missed would be dead by then.
+  std::this_thread::sleep_for(std::chrono::seconds(6));
+  CHECK(heir.Wait(SIGTERM) == 0);
+  REQUIRE(Says(other, "n1 has left"));
+  CHECK(other.output.find("n1 has left") == other.output.rfind("n1 has left"));
+  CHECK(other.output.find("n1 is held dead") == std::string::npos);
+  CHECK(other.output.find("no way to n1") == std::string::npos);
+}
+
 }  // namespace burlfall
