Fuzz: a member's frames, and what a mind makes of them

Need: what comes from the network must not bring a member down, whatever it is.

Change: cluster_wire_fuzz makes the checksum right, reads, writes back, and hands what was read to a mind; the mind's probe is a type of its own, as clang takes no optional of a nested one with defaults.

--- /dev/null
+++ b/fuzz/cluster_wire_fuzz.cpp
@@ -0,0 +1,36 @@
+// Any bytes as a member's frame: a message or a reason, and a message that is read is written back as the same. The
+// checksum is made right first, or nothing would get past it; and what was read goes to a mind.
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+#include "cluster/mind.h"
+#include "cluster/wire.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  using namespace burlfall::cluster;
+  const std::string body(reinterpret_cast<const char*>(data), size);
+  std::string frame = "bfc";
+  frame += static_cast<char>(kWireVersion);
+  const uint64_t sum = XXH3_64bits(body.data(), body.size());
+  for (int byte = 0; byte < 8; ++byte) frame += static_cast<char>(sum >> (8 * byte) & 0xff);
+  const ReadMessage read = Read(frame + body, "s");
+  if (!read.message) {
+    if (*read.why == '\0') std::abort();
+    return 0;
+  }
+  const ReadMessage again = Read(Write(*read.message, "s"), "s");
+  if (!again.message || !(*again.message == *read.message)) std::abort();
+  Mind mind({}, {"me", "a:1", {5, 0}}, {}, 1);
+  mind.Begin(burlfall::kSecond);
+  mind.Heard(burlfall::kSecond, *read.message);
+  mind.Answer(burlfall::kSecond, *read.message);
+  mind.Tick(20 * burlfall::kSecond);
+  for (const Outgoing& out : mind.TakeOutgoing()) {
+    if (Write(out.message, "s").size() > kLargestDatagram) std::abort();
+  }
+  return 0;
+}
--- a/src/cluster/mind.h
+++ b/src/cluster/mind.h
@@ -133,6 +133,20 @@
   size_t place = 0;  // among the living
 };
 
+// One round of asking after one member.
+struct Probe {
+  uint64_t number = 0;
+  std::string target;
+  Micros began = 0;
+  Micros ask_at = 0;  // others, and call
+  Micros judge_at = 0;
+  bool asked = false;
+  bool reached = false;
+  bool refused = false;
+  uint64_t call = 0;
+  std::set<std::string> without;  // helpers that found no way either
+};
+
 class Mind {
  public:
   Mind(Rules rules, Identity self, std::vector<std::string> seeds, uint64_t seed);
@@ -168,18 +182,6 @@
   const std::map<std::string, uint64_t>& dropped() const { return dropped_; }
 
  private:
-  struct Probe {
-    uint64_t number = 0;
-    std::string target;
-    Micros began = 0;
-    Micros ask_at = 0;  // others, and call
-    Micros judge_at = 0;
-    bool asked = false;
-    bool reached = false;
-    bool refused = false;
-    uint64_t call = 0;
-    std::set<std::string> without;  // helpers that found no way either
-  };
   struct Duty {  // a ping for somebody else
     std::string asker;
     uint64_t number = 0;  // of the asker
