--- a/fuzz/cluster_wire_fuzz.cpp
+++ b/fuzz/cluster_wire_fuzz.cpp
@@ -1,5 +1,5 @@
-// Any bytes as a member's frame: a message or a reason, and a message that is read is written back as the same. The
-// checksum is made right first, or nothing would get past it; and what was read goes to a mind.
+// Any bytes as a member's frame: a message or a reason, and a message that is read is written back as the
+// same. The checksum is made right first, or nothing would get past it; and what was read goes to a mind.
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
