Mind: one way to ping and to tell an asker; pings of a deaf member are bounded

Cause, seen on reading the change again: a ping was built, numbered and remembered in five places; the memory of pings was cut back only on hearing something, so it grew for as long as a member heard nothing. One that was dead and left in a later life stayed dead, and was called as such.

Change: Ping, TellItself, TellAsker and BeginLife take the place of the copies; pings are bounded where they are numbered; the later life's end is taken. Finished connections are put away once a turn and not with each datagram, facts are compared without copies, and what nothing used is gone.

--- a/src/cluster/differs.cpp
+++ b/src/cluster/differs.cpp
@@ -7,9 +7,9 @@
 namespace {
 
 struct Told {
-  std::string who;
-  Facts facts;
-  Micros list_age = 0;  // by now
+  const std::string& who;
+  const Facts& facts;
+  Micros list_age;  // by now
 };
 
 std::vector<Told> AllTold(const Mind& mind, Micros now, const DifferRules& rules) {
--- a/src/cluster/mind.cpp
+++ b/src/cluster/mind.cpp
@@ -157,13 +157,8 @@
         continue;
       }
       // Whoever hears nobody itself is no witness.
-      const Duty duty = it->second;
+      if (MayAccuse(now)) TellAsker(it->second, false);
       it = duties_.erase(it);
-      if (!MayAccuse(now)) continue;
-      Message told = Make(Message::Kind::kTold);
-      told.number = duty.number;
-      told.about = duty.about;
-      Send(duty.asker, std::move(told));
     }
     AskAccused(now);
     EndWaits(now);
@@ -188,7 +183,7 @@
 
 // ---- What goes out ---------------------------------------------------------------------------------------
 
-Message Mind::Make(Message::Kind kind) {
+Message Mind::Make(Message::Kind kind) const {
   Message message;
   message.kind = kind;
   message.from = self_;
@@ -199,12 +194,37 @@
 }
 
 Claim Mind::ClaimOf(const Member& member) const {
-  Claim claim{member.who, member.state, member.accusers, member.refused};
-  if (member.state != State::kSuspect && member.state != State::kDead) claim.accusers.clear();
-  return claim;
+  return {member.who, member.state, member.accusers, member.refused};
 }
 
 // Whoever is accused, or held dead, hears of it before all others.
+void Mind::TellItself(Message& message, const Member& to) const {
+  if (to.state != State::kAlive) message.claims.push_back(ClaimOf(to));
+}
+
+uint64_t Mind::NumberOfPing(const std::string& to) {
+  pings_[++numbers_] = to;
+  if (pings_.size() > kPingsKept) pings_.erase(pings_.begin());
+  return numbers_;
+}
+
+uint64_t Mind::Ping(const Member& to, bool with_claims) {
+  Message ping = Make(Message::Kind::kPing);
+  ping.number = NumberOfPing(to.who.name);
+  const uint64_t number = ping.number;
+  TellItself(ping, to);
+  Send(to.who.address, std::move(ping), with_claims);
+  return number;
+}
+
+void Mind::TellAsker(const Duty& duty, bool reached) {
+  Message told = Make(Message::Kind::kTold);
+  told.number = duty.number;
+  told.about = duty.about;
+  told.reached = reached;
+  Send(duty.asker, std::move(told));
+}
+
 void Mind::Send(const std::string& to, Message message, bool with_claims) {
   if (standing_ == Standing::kDouble || outgoing_.size() >= 4 * rules_.most_members) return;
   message.sequence = ++sequence_;
@@ -222,7 +242,7 @@
 
 void Mind::Spread(const Member& member) { gossip_.Add(ClaimOf(member)); }
 
-void Mind::SpreadSelf(State state) { gossip_.Add({self_, state, {}, false}); }
+void Mind::SpreadSelf() { gossip_.Add({self_, State::kAlive, {}, false}); }
 
 std::vector<Claim> Mind::AllClaims() const {
   std::vector<Claim> all = {{self_, State::kAlive, {}, false}};
@@ -311,7 +331,7 @@
     case Message::Kind::kPing: {
       Message answer = Make(Message::Kind::kAnswer);
       answer.number = message.number;
-      if (speaker->state != State::kAlive) answer.claims.push_back(ClaimOf(*speaker));
+      TellItself(answer, *speaker);
       Send(message.from.address, std::move(answer));
       break;
     }
@@ -322,19 +342,14 @@
       if (probe_ && probe_->number == message.number) probe_->reached = true;
       const auto duty = duties_.find(message.number);
       if (duty == duties_.end()) break;
-      Message told = Make(Message::Kind::kTold);
-      told.number = duty->second.number;
-      told.about = duty->second.about;
-      told.reached = true;
-      Send(duty->second.asker, std::move(told));
+      TellAsker(duty->second, true);
       duties_.erase(duty);
       break;
     }
     case Message::Kind::kAsk: {
       if (duties_.size() >= kMostDuties || message.about.name == self_.name) break;
       Message ping = Make(Message::Kind::kPing);
-      ping.number = ++numbers_;
-      pings_[ping.number] = message.about.name;
+      ping.number = NumberOfPing(message.about.name);
       duties_[ping.number] = {message.from.address, message.number, message.about, now + kDutyFor};
       Send(message.about.address, std::move(ping));
       break;
@@ -351,7 +366,6 @@
     default:
       break;
   }
-  while (pings_.size() > kPingsKept) pings_.erase(pings_.begin());
   if (message.kind == Message::Kind::kPing || message.kind == Message::Kind::kAnswer) Compare(now, message);
   Stand(now);
   Planned(now);
@@ -370,8 +384,8 @@
   speaker = Find(asked.from.name);
   if (all) {
     answer.claims = AllClaims();
-  } else if (speaker != nullptr && speaker->state != State::kAlive) {
-    answer.claims.push_back(ClaimOf(*speaker));
+  } else if (speaker != nullptr) {
+    TellItself(answer, *speaker);
   }
   Stand(now);
   Planned(now);
@@ -437,6 +451,12 @@
   return ++count <= kMostStrangers;
 }
 
+void Mind::BeginLife(Micros now, Member& member, const std::string& how) {
+  Set(now, member, State::kAlive);
+  Note(Notice::What::kJoined, member.who.name, how, member.who.life);
+  Spread(member);
+}
+
 void Mind::Apply(Micros now, const Claim& claim, const std::string& speaker, bool all) {
   const Identity& who = claim.who;
   const bool accuses = claim.state == State::kSuspect || claim.state == State::kDead;
@@ -456,9 +476,7 @@
     Member& member = members_[who.name];
     member.who = who;
     member.state = State::kLeft;
-    Set(now, member, State::kAlive);
-    Note(Notice::What::kJoined, who.name, speaker, who.life);
-    Spread(member);
+    BeginLife(now, member, speaker);
     if (accuses) Accuse(now, member, accusers, claim.refused);
     return;
   }
@@ -466,7 +484,7 @@
   if (who.life.start < member.who.life.start) return;
   if (who.life.start > member.who.life.start) {
     const bool was_living = Living(member.state);
-    if (was_living) Set(now, member, State::kLeft);  // the life before
+    Set(now, member, State::kLeft);  // the life before
     const Identity before = std::exchange(member.who, who);
     member.highest = member.seen = 0;
     member.answered_at = 0;
@@ -475,10 +493,7 @@
       Spread(member);
       return;
     }
-    Set(now, member, State::kAlive);
-    Note(Notice::What::kJoined, who.name, before.address == who.address ? "again" : "from " + before.address,
-         who.life);
-    Spread(member);
+    BeginLife(now, member, before.address == who.address ? "again" : "from " + before.address);
     if (accuses) Accuse(now, member, accusers, claim.refused);
     return;
   }
@@ -604,11 +619,7 @@
     Member& member = members_.at(name);
     if (member.asked || now < HalfWait(member)) continue;
     member.asked = true;
-    Message ping = Make(Message::Kind::kPing);
-    ping.number = ++numbers_;
-    pings_[ping.number] = name;
-    ping.claims.push_back(ClaimOf(member));
-    Send(member.who.address, std::move(ping));
+    Ping(member);
   }
 }
 
@@ -692,17 +703,11 @@
     round_.pop_back();
   }
   if (target == nullptr) return;
-  Message ping = Make(Message::Kind::kPing);
-  ping.number = ++numbers_;
-  if (target->state == State::kSuspect) ping.claims.push_back(ClaimOf(*target));
-  pings_[ping.number] = target->who.name;
   probe_.emplace();
-  probe_->number = ping.number;
+  probe_->number = Ping(*target);
   probe_->target = target->who.name;
-  probe_->began = now;
   probe_->ask_at = now + rules_.patience;
   probe_->judge_at = now + rules_.period * 9 / 10;
-  Send(target->who.address, std::move(ping));
 }
 
 void Mind::StepProbe(Micros now) {
@@ -745,7 +750,7 @@
   }
   Message ping = Make(Message::Kind::kPing);
   ping.number = probe_->number;
-  if (target.state == State::kSuspect) ping.claims.push_back(ClaimOf(target));
+  TellItself(ping, target);
   probe_->call = ++numbers_;
   calls_.push_back({probe_->call, target.who.address, std::move(ping), probe_->judge_at - now});
 }
@@ -758,11 +763,7 @@
   Member& target = members_.at(probe.target);
   if (!Living(target.state)) return;
   Accuse(now, target, {self_.name}, probe.refused);
-  Message ping = Make(Message::Kind::kPing);
-  ping.number = ++numbers_;
-  pings_[ping.number] = probe.target;
-  ping.claims.push_back(ClaimOf(target));
-  Send(target.who.address, std::move(ping));
+  Ping(target);
 }
 
 // ---- The dead, and those never met -----------------------------------------------------------------------
@@ -779,11 +780,7 @@
     if (it->second.state == State::kDead) break;
   }
   if (it == members_.end() || it->second.state != State::kDead) return;
-  Message ping = Make(Message::Kind::kPing);
-  ping.number = ++numbers_;
-  pings_[ping.number] = it->first;
-  ping.claims.push_back(ClaimOf(it->second));
-  Send(it->second.who.address, std::move(ping), false);
+  Ping(it->second, false);
 }
 
 void Mind::Exchange(Micros now, const std::string& to) {
--- a/src/cluster/mind.h
+++ b/src/cluster/mind.h
@@ -137,7 +137,6 @@
 struct Probe {
   uint64_t number = 0;
   std::string target;
-  Micros began = 0;
   Micros ask_at = 0;  // others, and call
   Micros judge_at = 0;
   bool asked = false;
@@ -178,7 +177,6 @@
   // How many there may be at most, by what was known within `span`: deaths don't shrink it before, so that
   // whoever shares something by this number doesn't take more because others were lost from sight.
   size_t MostWithin(Micros now, Micros span) const;
-  size_t gossip() const { return gossip_.size(); }
   const std::map<std::string, uint64_t>& dropped() const { return dropped_; }
 
  private:
@@ -195,19 +193,24 @@
   void Note(Notice::What what, const std::string& who, const std::string& by = "", Life life = {},
             Micros span = 0);
   void Drop(const std::string& why, const std::string& who);
-  Message Make(Message::Kind kind);
+  Message Make(Message::Kind kind) const;
+  void TellItself(Message& message, const Member& to) const;
+  uint64_t NumberOfPing(const std::string& to);  // of the next one, which is remembered
+  uint64_t Ping(const Member& to, bool with_claims = true);
+  void TellAsker(const Duty& duty, bool reached);
   void Send(const std::string& to, Message message, bool with_claims = true);
   bool Fresh(Member& member, uint64_t sequence);
 
   // False: what it says is not to be heard, but for what it says of this member.
   bool TakeSpeaker(Micros now, const Message& message, bool datagram);
   void TakeClaims(Micros now, const Message& message, bool believed, bool all);
+  void BeginLife(Micros now, Member& member, const std::string& how);
   void Apply(Micros now, const Claim& claim, const std::string& speaker, bool all);
   void ApplyToSelf(const Claim& claim, const std::string& speaker);
   void Accuse(Micros now, Member& member, const std::vector<std::string>& accusers, bool refused);
   void Set(Micros now, Member& member, State state);
   void Spread(const Member& member);
-  void SpreadSelf(State state = State::kAlive);
+  void SpreadSelf();
   Claim ClaimOf(const Member& member) const;
   std::vector<Claim> AllClaims() const;
   Micros WaitOf(const Member& member) const;
--- a/src/member/member.cpp
+++ b/src/member/member.cpp
@@ -160,6 +160,7 @@
 
 Task<> ClusterMember::Listen() {
   while (true) {
+    Bury();
     const bool all = TakeDatagrams();
     if (all && machine_.Now() >= mind_.next_at()) {
       mind_.Tick(machine_.Now());
@@ -170,7 +171,6 @@
 }
 
 void ClusterMember::Settle() {
-  Bury();
   for (const cluster::Outgoing& out : mind_.TakeOutgoing()) {
     const std::optional<Address> to = ReadAddress(out.to);
     if (!to) continue;
--- a/tests/cluster/mind_test.cpp
+++ b/tests/cluster/mind_test.cpp
@@ -323,6 +323,31 @@
   EXPECT_FALSE(stage.mind.members().contains("d"));
 }
 
+TEST(Mind, OneThatWasDeadAndLeftInALaterLifeIsNotCalledAsDead) {
+  Stage stage;
+  for (const char* name : {"a", "b", "c", "d"}) stage.Hear(stage.From(name, Message::Kind::kGossip));
+  stage.Run(12 * kSecond, {"a", "b", "c"});
+  ASSERT_EQ(stage.Of("d"), State::kDead);
+  stage.Say("a", stage.About("d", State::kLeft, 0, {}, 60));  // its later life, of which nothing was heard
+  EXPECT_EQ(stage.Of("d"), State::kLeft);
+}
+
+TEST(Mind, ThePingsOfOneThatHearsNobodyAreBounded) {
+  Stage stage;
+  for (const char* name : {"a", "b", "c"}) stage.Hear(stage.From(name, Message::Kind::kGossip));
+  stage.Run(400 * kSecond);
+  // The first of them, long forgotten, is no contact any more; the last one is.
+  const auto ping = std::ranges::find_if(
+      stage.sent, [](const Outgoing& out) { return out.message.kind == Message::Kind::kPing; });
+  ASSERT_NE(ping, stage.sent.end());
+  for (const char* name : {"a", "b", "c"}) {
+    Message late = stage.From(name, Message::Kind::kAnswer);
+    late.number = ping->message.number;
+    stage.Hear(late);
+    EXPECT_EQ(stage.mind.members().at(name).answered_at, 0) << name;
+  }
+}
+
 TEST(Mind, TheDeadAreCalledAndComeBackInTheirOwnWord) {
   Stage stage;
   for (const char* name : {"a", "b", "c", "d"}) stage.Hear(stage.From(name, Message::Kind::kGossip));
