Serve: paths in a named folder without a copy of the configuration

Cause: two places copied the whole configuration to put another folder into it.

Change: PathFor takes the folder, and Named says which the operators' file means.

--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -38,16 +38,21 @@
 }
 
 // Several balancers may share the folder, by different names.
-std::string PathFor(const Config& config, const char* what) {
+std::string PathFor(const Config& config, const std::string& folder, const char* what) {
   std::string name = config.name;
   std::replace_if(
       name.begin(), name.end(), [](char c) { return c == '/' || (c >= 0 && c <= ' '); }, '_');
-  return config.folder + "/burlfall-" + name + what;
+  return folder + "/burlfall-" + name + what;
+}
+
+// A folder as the operators' files name it; empty: none.
+const std::string& Named(const Config& config, const std::string& folder) {
+  return folder == kOwnFolder ? config.folder : folder;
 }
 
 // Of the nodes that are out; empty: nowhere.
 std::string OutPath(const Config& config) {
-  return config.folder.empty() || config.admin.length == 0 ? "" : PathFor(config, ".out");
+  return config.folder.empty() || config.admin.length == 0 ? "" : PathFor(config, config.folder, ".out");
 }
 
 start::AskRules AskRulesFor(const StartSettings& start, const Config& config) {
@@ -94,7 +99,8 @@
   if (config_.admin.length > 0)
     control_.emplace(machine_, config_.admin, Calls(descriptors()), static_cast<Operations&>(*this));
   if (config_.passed >= 0 && !config_.folder.empty()) {
-    handover_.emplace(machine_, PathFor(config_, ".sock"), config_.name, static_cast<Heritage&>(*this), log_);
+    handover_.emplace(machine_, PathFor(config_, config_.folder, ".sock"), config_.name,
+                      static_cast<Heritage&>(*this), log_);
   }
   Allow();
   budget_.Add(front_);
@@ -115,11 +121,8 @@
   const ClusterSettings& cluster = *cluster_;
   ClusterMember::Setup setup;
   setup.name = config_.name;
-  if (!cluster.folder.empty()) {
-    Config named = config_;
-    if (cluster.folder != kOwnFolder) named.folder = cluster.folder;
-    if (!named.folder.empty()) setup.socket = PathFor(named, ".cluster");
-  }
+  const std::string& folder = Named(config_, cluster.folder);
+  if (!folder.empty()) setup.socket = PathFor(config_, folder, ".cluster");
   setup.facts = [this, zone = cluster.zone] {
     cluster::Facts facts = FactsNow();
     facts.zone = zone;
@@ -229,10 +232,8 @@
 
 // ---- The list from start to start ------------------------------------------------------------------------
 
-std::string Program::KeptPath(const std::string& what) const {
-  Config named = config_;
-  if (start_.saved_list.folder != kOwnFolder) named.folder = start_.saved_list.folder;
-  return PathFor(named, what.c_str());
+std::string Program::KeptPath(const char* what) const {
+  return PathFor(config_, Named(config_, start_.saved_list.folder), what);
 }
 
 std::string Program::ListPath(int file) const { return KeptPath(file == 0 ? ".list.0" : ".list.1"); }
--- a/src/serve/program.h
+++ b/src/serve/program.h
@@ -93,7 +93,7 @@
   void BeginAlone();
   std::function<std::optional<Micros>(Micros)> NotReady();
   start::Asking* PaceFor(const std::optional<StartSettings>& start);
-  std::string KeptPath(const std::string& what) const;  // in the folder of the saved list
+  std::string KeptPath(const char* what) const;  // in the folder of the saved list
   std::string ListPath(int file) const;
   start::SavedChoice FindSavedList();
   bool UseSavedList();
