Lab: one piece each for sources, loopback blocks, descriptors, ranges and Retry-After

Cause: the members' rig wrote again what runs and experiments had: finding a file or a shipped one, a block of loopback, the limit of descriptors, the lab's ranges in TOML; and Retry-After was read in discovery and in the clients.

Change: lab/source, lab/run/own_share, lab/script/range_key and PositiveSeconds in codec/words serve both sides; an argument, an event and a flag that nothing used are gone; of one zone a half is cut off.

--- a/src/codec/words.cpp
+++ b/src/codec/words.cpp
@@ -44,4 +44,11 @@
   return word;
 }
 
+double PositiveSeconds(std::string_view text) {
+  double seconds = 0;
+  const char* const end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, seconds);
+  return error == std::errc() && stop == end && seconds > 0 ? seconds : 0;
+}
+
 }  // namespace burlfall
--- a/src/codec/words.h
+++ b/src/codec/words.h
@@ -21,6 +21,9 @@
   return error == std::errc() && end == text.data() + text.size() && value >= 0;
 }
 
+// Seconds above 0, whole or decimal; 0: it is none. Without a bound: what is taken of it the caller says.
+double PositiveSeconds(std::string_view text);
+
 // Takes the first word off the front; empty where there is none.
 std::string_view NextWord(std::string_view& line);
 
--- a/src/lab/commands.cpp
+++ b/src/lab/commands.cpp
@@ -26,6 +26,7 @@
 #include "lab/script/experiment_file.h"
 #include "lab/script/script.h"
 #include "lab/shipped.h"
+#include "lab/source.h"
 #include "lab/store.h"
 #include "lab/summary.h"
 
@@ -37,30 +38,6 @@
 constexpr int kWrong = 1;
 constexpr int kUnusable = 2;
 
-void Complain(const std::string& what) { std::cerr << "burlfall lab: " << what << "\n"; }
-
-struct Source {
-  std::string name;
-  std::string text;
-};
-
-// A file, or one of those that ship with the program.
-std::optional<Source> Find(const std::string& word) {
-  if (fs::is_regular_file(word)) {
-    std::optional<std::string> text = MakeRealFiles()->Read(word);
-    if (text) return Source{word, std::move(*text)};
-  }
-  for (const Shipped& one : AllShipped()) {
-    if (one.name == word) return Source{word + ".toml", std::string(one.text)};
-  }
-  if (fs::exists(word)) {
-    Complain(word + ": " + (fs::is_directory(word) ? "a folder, not a file" : "not a plain file"));
-    return {};
-  }
-  Complain(word + ": no such file, and no shipped experiment of that name; `burlfall lab list` names these");
-  return {};
-}
-
 std::optional<Experiment> Read(const Source& source) {
   Loaded<Experiment> loaded = ParseExperiment(source.name, source.text);
   for (const auto& error : loaded.errors) Complain(error.Line());
@@ -102,7 +79,7 @@
 int Check(const std::vector<std::string>& files, bool script, std::optional<uint64_t> seed) {
   int code = 0;
   for (const std::string& file : files) {
-    const std::optional<Source> source = Find(file);
+    const std::optional<Source> source = FindSource(file, "experiment", "list");
     const std::optional<Experiment> experiment = source ? Read(*source) : std::nullopt;
     if (!experiment) {
       code = kUnusable;
@@ -246,7 +223,7 @@
 int RunAll(const RunWords& words) {
   std::vector<std::pair<Source, Experiment>> experiments;
   for (const std::string& file : words.files) {
-    std::optional<Source> source = Find(file);
+    std::optional<Source> source = FindSource(file, "experiment", "list");
     std::optional<Experiment> experiment = source ? Read(*source) : std::nullopt;
     if (!experiment) return kUnusable;
     const std::string obstacle = Obstacle(*experiment);
--- a/src/lab/load/clients.cpp
+++ b/src/lab/load/clients.cpp
@@ -1,10 +1,10 @@
 #include "lab/load/clients.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <utility>
 
+#include "codec/words.h"
 #include "config/platform.h"
 #include "lab/judge/facts.h"
 #include "lab/site/mark.h"
@@ -39,10 +39,8 @@
 Micros ReadRetryAfter(const HttpMessage& answer) {
   const std::string* text = answer.Find(platform::kRetryAfter);
   if (text == nullptr) return 0;
-  double seconds = 0;
-  const char* end = text->data() + text->size();
-  auto [stop, error] = std::from_chars(text->data(), end, seconds);
-  if (error != std::errc() || stop != end || !std::isfinite(seconds) || seconds <= 0) return 0;
+  const double seconds = PositiveSeconds(*text);
+  if (!std::isfinite(seconds)) return 0;
   return static_cast<Micros>(std::min(seconds, 3600.0) * kSecond);
 }
 
--- a/src/lab/members/drawn_scenario.cpp
+++ b/src/lab/members/drawn_scenario.cpp
@@ -36,6 +36,8 @@
       case MemberFaultKind::kCut:
         fault.to = draws.Chance(0.5) ? "rest" : groups[draws.Below(8)];
         fault.both_ways = draws.Chance(0.4);
+        // Of one zone there is no rest.
+        if (scenario.zones.size() == 1 && fault.who == "zone:a") fault.who = "half";
         break;
       case MemberFaultKind::kLossy:
         fault.who = draws.Chance(0.5) ? "all" : fault.who;
--- a/src/lab/members/real_members.cpp
+++ b/src/lab/members/real_members.cpp
@@ -1,8 +1,6 @@
 #include "lab/members/real_members.h"
 
-#include <sched.h>
 #include <signal.h>
-#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -16,6 +14,7 @@
 #include "io/real_machine.h"
 #include "lab/paths/paths.h"
 #include "lab/run/children.h"
+#include "lab/run/own_share.h"
 #include "lab/script/experiment.h"
 #include "lab/script/platform_json.h"
 #include "lab/script/script.h"
@@ -33,14 +32,11 @@
 constexpr size_t kDescriptorsEach = 12, kOwnDescriptors = 256;
 constexpr size_t kNotes = 20;
 
-// Members stand at loopback hosts of their own, and are seen by others at further ones. Runs side by side
-// take blocks of their own.
+// Members stand at loopback hosts of their own, and are seen by others at further ones.
+constexpr int kBlock = 128;
 constexpr int kHostsABlock = 125;
 
-std::string Block(int number) {
-  const int pid = getpid();
-  return "127." + std::to_string(128 + pid / 250 % 60) + "." + std::to_string((pid + number) % 250 + 1) + ".";
-}
+std::string Block(int number) { return OwnLoopback(kBlock, number); }
 
 std::string HostOfMember(int i, bool seen) {
   return Block(i / kHostsABlock) + std::to_string(2 + (seen ? kHostsABlock : 0) + i % kHostsABlock);
@@ -51,16 +47,6 @@
   return text.append(":").append(std::to_string(port));
 }
 
-bool MayOpen(size_t need) {
-  rlimit limit{};
-  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return true;
-  if (limit.rlim_cur < need) {
-    limit.rlim_cur = std::min<rlim_t>(need, limit.rlim_max);
-    setrlimit(RLIMIT_NOFILE, &limit);
-  }
-  return limit.rlim_cur >= need;
-}
-
 // A site without nodes: what is looked at is between the balancers.
 Experiment SiteOf(const Scenario& scenario) {
   Experiment site;
@@ -95,7 +81,6 @@
                                    const nlohmann::json& fields) { Heard(i, event, fields); }}),
         moved_(machine_.scheduler()),
         look_(machine_.scheduler()),
-        hear_(machine_.scheduler()),
         counted_(plan_.names.size()) {
     for (size_t i = 0; i < plan_.names.size(); ++i) numbers_[plan_.names[i]] = static_cast<int>(i);
   }
@@ -143,7 +128,7 @@
   void OpenPaths(int i) {
     const Address real = *ReadAddress(At(HostOfMember(i, false), kPort));
     const Address seen = *ReadAddress(At(HostOfMember(i, true), kPort));
-    paths_.Knows(HostOfMember(i, false), real.text, i);
+    paths_.Knows(HostOfMember(i, false), i);
     paths_.OpenStreams(seen, i, real);
     paths_.OpenDatagrams(seen, i, real);
   }
@@ -283,7 +268,7 @@
   struct Counted {
     uint64_t out = 0, bytes = 0, calls = 0;
     Micros cpu = 0;
-    Micros rss = 0;
+    uint64_t rss_bytes = 0;
   };
 
   Task<> Measure(Micros at) {
@@ -292,7 +277,7 @@
       const auto usage = children_.Usage(static_cast<int>(i));
       if (!usage) continue;
       counted_[i].cpu = usage->cpu;
-      counted_[i].rss = static_cast<Micros>(usage->rss_bytes);
+      counted_[i].rss_bytes = usage->rss_bytes;
       children_.TellCounters(static_cast<int>(i));
     }
     const Micros until = machine_.Now() + kAnswersWithin;
@@ -319,7 +304,7 @@
       played_.bytes_per_s += bytes;
       played_.most_bytes_per_s = std::max(played_.most_bytes_per_s, bytes);
       played_.cpu_percent += 100 * static_cast<double>(counted_[i].cpu - before[i].cpu) / 1e6 / span;
-      played_.rss_mb += static_cast<double>(counted_[i].rss) / 1e6;
+      played_.rss_mb += static_cast<double>(counted_[i].rss_bytes) / 1e6;
       played_.calls += counted_[i].calls - before[i].calls;
     }
     if (n == 0) return;
@@ -362,7 +347,6 @@
   Children children_;
   Event moved_;
   Event look_;
-  Event hear_;
   std::map<std::string, int> numbers_;
   std::vector<Counted> counted_;
   std::vector<int> again_;
@@ -378,9 +362,9 @@
 MembersPlayed PlayMembers(const Scenario& scenario, uint64_t seed, const MembersOptions& options) {
   signal(SIGPIPE, SIG_IGN);
   const size_t need = kOwnDescriptors + kDescriptorsEach * static_cast<size_t>(scenario.members);
-  if (!MayOpen(need)) {
+  if (const std::string why = MayHold(need); !why.empty()) {
     MembersPlayed played;
-    played.why_not = "needs " + std::to_string(need) + " descriptors (ulimit -n)";
+    played.why_not = why;
     return played;
   }
   return Player(scenario, seed, options).Play();
--- a/src/lab/members/scenario.cpp
+++ b/src/lab/members/scenario.cpp
@@ -5,11 +5,11 @@
 #include <stdexcept>
 #include <utility>
 
+#include "lab/script/range_key.h"
+
 namespace burlfall::lab {
 namespace {
 
-Range Drawn(const burlfall::Range<double>& range) { return {range.low, range.high}; }
-
 Micros Us(double seconds) { return static_cast<Micros>(seconds * static_cast<double>(kSecond)); }
 
 Schema<MemberFault> FaultSchema() {
@@ -131,7 +131,7 @@
     plan.names.push_back(name.append(std::to_string(i)));
     plan.zones.push_back(scenario.zones[i % scenario.zones.size()]);
     plan.actions.push_back(
-        {Us(draws.Between(Drawn(scenario.start_s))), MemberAction::What::kStart, static_cast<int>(i)});
+        {Us(draws.Between(scenario.start_s)), MemberAction::What::kStart, static_cast<int>(i)});
   }
   plan.settled_at = Us(scenario.start_s.high);
   plan.touched.assign(n, false);
@@ -145,7 +145,7 @@
         plan.touched[static_cast<size_t>(one)] = true;
         Micros at = begin;
         do {
-          const Micros length = Us(draws.Between(Drawn(fault.for_s)));
+          const Micros length = Us(draws.Between(fault.for_s));
           const bool pause = fault.kind == MemberFaultKind::kPaused;
           plan.actions.push_back({at,
                                   pause                                   ? MemberAction::What::kPause
@@ -158,19 +158,19 @@
           }
           plan.settled_at = std::max(plan.settled_at, at + length);
           if (fault.again_s.high <= 0) break;
-          at += length + std::max<Micros>(Us(draws.Between(Drawn(fault.again_s))), kMs);
+          at += length + std::max<Micros>(Us(draws.Between(fault.again_s)), kMs);
         } while (at < Us(fault.until_s));
       }
       continue;
     }
-    const Micros length = Us(draws.Between(Drawn(fault.for_s)));
+    const Micros length = Us(draws.Between(fault.for_s));
     const Micros end = length == 0 ? Us(scenario.length_s) : begin + length;
     const std::vector<int> to = Meant(fault.to, plan, who, draws);
     if (to.empty()) throw std::runtime_error(std::string("a fault is about nobody: ") + fault.to);
     PathQuality quality;
     quality.cut = fault.kind == MemberFaultKind::kCut;
     quality.lost = fault.lost;
-    quality.delay_ms = Drawn(fault.delay_ms);
+    quality.delay_ms = fault.delay_ms;
     quality.doubled = fault.doubled;
     quality.reordered = fault.reordered;
     auto set = [&](int from, int other) {
--- a/src/lab/members/scenario.h
+++ b/src/lab/members/scenario.h
@@ -27,14 +27,14 @@
 struct MemberFault {
   MemberFaultKind kind = MemberFaultKind::kKilled;
   double at_s = 0;
-  burlfall::Range<double> for_s = {0, 0};
-  burlfall::Range<double> again_s = {0, 0};
+  Range for_s = {0, 0};
+  Range again_s = {0, 0};
   double until_s = 0;
   std::string who = "one";
   std::string to = "rest";
   bool both_ways = false;
   double lost = 0;
-  burlfall::Range<double> delay_ms = {0, 0};
+  Range delay_ms = {0, 0};
   double doubled = 0;
   double reordered = 0;
 };
@@ -55,8 +55,8 @@
   uint64_t seed = 1;
   int members = 5;
   std::vector<std::string> zones = {"a"};
-  burlfall::Range<double> start_s = {0, 0};  // each at a moment drawn from it
-  int dead_seeds = 0;                        // addresses that members ask first, and where nobody is
+  Range start_s = {0, 0};  // each at a moment drawn from it
+  int dead_seeds = 0;      // addresses that members ask first, and where nobody is
   double length_s = 30;
   std::vector<MemberFault> faults;
   MemberGoals goals;
--- a/src/lab/members/virtual_members.cpp
+++ b/src/lab/members/virtual_members.cpp
@@ -17,7 +17,6 @@
   std::unique_ptr<cluster::Mind> mind;
   uint64_t life = 0;
   bool paused = false;
-  bool paused_at_all = false;
   Micros tick_at = kNever;
   std::deque<Flight> held;  // what came while it stood still
 };
--- a/src/lab/members_command.cpp
+++ b/src/lab/members_command.cpp
@@ -12,10 +12,10 @@
 #include <string>
 #include <vector>
 
-#include "io/real_files.h"
 #include "lab/members/real_members.h"
 #include "lab/members/virtual_members.h"
 #include "lab/shipped.h"
+#include "lab/source.h"
 
 namespace burlfall::lab {
 namespace {
@@ -37,23 +37,10 @@
   std::string out;
 };
 
-void Complain(const std::string& what) { std::cerr << "burlfall lab: " << what << "\n"; }
-
 std::optional<Scenario> ReadScenario(const std::string& word) {
-  std::optional<std::string> text;
-  std::string name = word;
-  if (std::filesystem::is_regular_file(word)) text = MakeRealFiles()->Read(word);
-  for (const Shipped& one : AllShipped()) {
-    if (text || one.kind != Shipped::Kind::kMembers || one.name != word) continue;
-    text = std::string(one.text);
-    name += ".toml";
-  }
-  if (!text) {
-    Complain(word +
-             ": no such file, and no scenario of that name ships; `burlfall lab members list` names these");
-    return {};
-  }
-  Loaded<Scenario> loaded = ScenarioSchema().Parse(name, *text);
+  const std::optional<Source> source = FindSource(word, "scenario", "members list");
+  if (!source) return {};
+  Loaded<Scenario> loaded = ScenarioSchema().Parse(source->name, source->text);
   for (const ConfigError& error : loaded.errors) Complain(error.Line());
   return std::move(loaded.value);
 }
--- a/src/lab/paths/paths.cpp
+++ b/src/lab/paths/paths.cpp
@@ -40,7 +40,7 @@
   return local;
 }
 
-void Paths::Knows(const std::string& host, const std::string&, int who) { hosts_[host] = who; }
+void Paths::Knows(const std::string& host, int who) { hosts_[host] = who; }
 
 Address Paths::OpenStreams(const Address& at, int to, const Address& real) {
   return OpenStream(at, kAnybody, to, real);
--- a/src/lab/paths/paths.h
+++ b/src/lab/paths/paths.h
@@ -38,8 +38,8 @@
 
   // Both throw std::system_error where the address can't be had. `at`: with port 0, any that is free.
   Address OpenStream(const Address& at, int from, int to, const Address& real);
-  // Whoever connects from this host, or sends datagrams from this address, is `who`.
-  void Knows(const std::string& host, const std::string& address, int who);
+  // Whoever connects from this host is `who`.
+  void Knows(const std::string& host, int who);
   // Of any sender that is known by its host: one door for all that call `to`. While a path is cut, what comes
   // in on it is taken and held, as a connection that comes up and then hears nothing.
   Address OpenStreams(const Address& at, int to, const Address& real);
--- a/src/lab/run/play.cpp
+++ b/src/lab/run/play.cpp
@@ -13,6 +13,7 @@
 
 #include "io/real_machine.h"
 #include "lab/run/children.h"
+#include "lab/run/own_share.h"
 
 namespace burlfall::lab {
 namespace {
@@ -21,6 +22,7 @@
 constexpr Micros kStopWithin = 5 * kSecond;  // for balancers, in the end
 constexpr size_t kOwnDescriptors = 128;
 constexpr int kBalancerPort = 8000;
+constexpr int kBlock = 64;          // of loopback
 constexpr size_t kIdleLinks = 16;   // that a balancer keeps and few queries use
 constexpr double kLinksAQuery = 6;  // at most: its client's, its attempts', and those of its retries
 
@@ -66,22 +68,16 @@
   return text;
 }
 
-// Loopback has addresses to spare. Each run takes a block of its own, so that runs side by side, and the
-// connections that the system gives ports to on 127.0.0.1, don't take a restarting balancer's port.
-std::string Block() {
-  const int pid = getpid();
-  return "127." + std::to_string(64 + pid / 250 % 60) + "." + std::to_string(1 + pid % 250) + ".";
-}
-
 Run::Setup SetupOf(const Experiment& experiment, const PlayOptions& options) {
   Run::Setup setup;
   setup.subject = options.subject;
   setup.start_within = options.start_within;
   setup.history = options.history;
-  setup.node_host = Block() + "1";
+  setup.node_host = OwnLoopback(kBlock) + "1";
   for (int b = 0; b < experiment.site.balancers.count; ++b) {
     const int host = 2 + b % 250;
-    setup.listen.push_back(Block() + std::to_string(host) + ":" + std::to_string(kBalancerPort + b / 250));
+    setup.listen.push_back(OwnLoopback(kBlock) + std::to_string(host) + ":" +
+                           std::to_string(kBalancerPort + b / 250));
   }
   return setup;
 }
@@ -238,16 +234,7 @@
   const bool cuts = std::ranges::any_of(
       experiment.faults, [](const FaultSpec& fault) { return fault.kind == FaultKind::kZoneCut; });
   const size_t need = (cuts ? 2 : 1) * nodes * balancers + links + kOwnDescriptors;
-  rlimit limit{};
-  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return "";
-  if (limit.rlim_cur < need && limit.rlim_cur < limit.rlim_max) {
-    limit.rlim_cur = std::min<rlim_t>(need, limit.rlim_max);
-    setrlimit(RLIMIT_NOFILE, &limit);
-    getrlimit(RLIMIT_NOFILE, &limit);
-  }
-  if (limit.rlim_cur >= need) return "";
-  return "needs " + std::to_string(need) + " descriptors, and this process may hold " +
-         std::to_string(limit.rlim_cur) + " (ulimit -n)";
+  return MayHold(need);
 }
 
 Played Play(const Experiment& experiment, uint64_t seed, const PlayOptions& options) {
--- a/src/lab/script/experiment_file.cpp
+++ b/src/lab/script/experiment_file.cpp
@@ -6,23 +6,9 @@
 #include <string>
 #include <vector>
 
+#include "lab/script/range_key.h"
 #include "lab/script/script.h"
 
-namespace burlfall::schema_internal {
-
-// The lab's ranges are numbers all, and known without the schema.
-template <>
-struct Codec<lab::Range> {
-  static void Describe(KeySpec& key) { Codec<Range<double>>::Describe(key); }
-  static lab::Range From(const TomlValue& value) {
-    const Range<double> range = Codec<Range<double>>::From(value);
-    return {range.low, range.high};
-  }
-  static TomlValue To(const lab::Range& e) { return Codec<Range<double>>::To({e.low, e.high}); }
-};
-
-}  // namespace burlfall::schema_internal
-
 namespace burlfall::lab {
 namespace {
 
--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -1,11 +1,11 @@
 #include "membership/discovery.h"
 
 #include <algorithm>
-#include <charconv>
 #include <system_error>
 #include <utility>
 
 #include "codec/http.h"
+#include "codec/words.h"
 #include "config/platform.h"
 
 namespace burlfall {
@@ -25,11 +25,8 @@
 Micros RetryAfter(const HttpMessage& answer) {
   const std::string* text = answer.Find(platform::kRetryAfter);
   if (text == nullptr) return 0;
-  double seconds = 0;
-  const char* end = text->data() + text->size();
-  const auto [stop, error] = std::from_chars(text->data(), end, seconds);
-  if (error != std::errc() || stop != end || !(seconds > 0)) return 0;
-  return static_cast<Micros>(std::min(seconds, kLongestRetryAfter) * static_cast<double>(kSecond));
+  return static_cast<Micros>(std::min(PositiveSeconds(*text), kLongestRetryAfter) *
+                             static_cast<double>(kSecond));
 }
 
 }  // namespace
