A watch begins with the version at hand, and a silent one is asked anew in time

Traced call by call and send by send: at a common start the first call for the whole list is answered at once and takes its turn in the service's line all the same; the watch after it is a second call and is turned away; when the first one's turn comes the drain counts as told, and no call is open that could take it. Where lists are pushed nobody ever called Follow().

At fault: Discovery::Watch (whole list first; waits of half of MustAskIn with 1.5 s of patience), Start (waited to be asked). Now membership/list_clock decides when a call goes out unasked; a watch starts from the version that the group has.

--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -11,13 +11,10 @@
 namespace burlfall {
 namespace {
 
-// A watch that hears nothing for longer than it asked to wait has lost discovery: a machine that was cut off
-// gives no sign. The wait is half of the time within which the deployment wants to be asked.
-constexpr Micros kLongestWait = 20 * kSecond;
-constexpr Micros kAnswerPatience = 1500 * kMs;
-constexpr Micros kLeastPause = 150 * kMs;     // a watch goes on if the next call comes within 200 ms
-constexpr Micros kCallPatience = 2500 * kMs;  // for a call that does not wait: discovery handles them in turn
-constexpr Micros kStoodInLine = 500 * kMs;  // a refusal after it is for the line, and not for what is broken
+constexpr Micros kConnectPatience = 1500 * kMs;
+constexpr Micros kLeastPause = 150 * kMs;  // a watch goes on if the next call comes within 200 ms
+constexpr Micros kStoodInLine = 500 * kMs;
+constexpr Micros kPacedLate = 1500 * kMs;     // after the wait of a paced watch
 constexpr double kLongestRetryAfter = 86400;  // s
 
 // Seconds, whole or decimal; 0: none that can be read. A date says nothing that our clock could be trusted
@@ -40,9 +37,13 @@
       counters_(counters),
       told_(std::move(told)),
       pace_(pace),
+      clock_({!config.settings.must_subscribe, config.settings.must_ask_within, config.settings.drain_grace}),
       asked_(scheduler_) {}
 
-void Discovery::Start() {
+// Where lists are pushed nobody asks to follow, and what the service has counts from the first moment on.
+void Discovery::Start(std::optional<uint64_t> has) {
+  has_ = has;
+  if (!config_.settings.must_subscribe) following_ = true;
   watch_ = Watch();
   watch_.Start();
 }
@@ -61,49 +62,74 @@
   link_.reset();
   following_ = true;
   if (pace_ != nullptr) pace_->BeginAnew(scheduler_.Now(), machine_.Draw());
-  Start();
+  Start({});  // another service may count its versions otherwise
 }
 
+// Until somebody asks, or the clock does; and where calls are paced, until there is a turn.
+Task<> Discovery::AwaitTurn() {
+  while (!following_ && scheduler_.Now() < clock_.ask_at()) co_await asked_.Wait(clock_.ask_at());
+  following_ = true;
+  while (pace_ != nullptr && scheduler_.Now() < pace_->next_at()) co_await asked_.Wait(pace_->next_at());
+}
+
+// A watch begins with the version that the group has: the service then tells what has changed since, and has
+// one call in its line where the whole list first and a watch after it are two. What is told between these
+// two would count as told, with no call open that could take it.
 Task<> Discovery::Watch() {
-  const Micros usual = std::min(kLongestWait, std::max(kSecond, config_.settings.must_ask_within / 2));
-  uint64_t version = 0;
-  bool fresh = true;  // the first call of a watch asks for the whole list, which is answered at once
+  bool opens = true;
   while (true) {
-    while (!following_) co_await asked_.Wait();
-    while (pace_ != nullptr && scheduler_.Now() < pace_->next_at()) co_await asked_.Wait(pace_->next_at());
-    const Micros wait = pace_ != nullptr ? pace_->watch_wait() : usual;
+    co_await AwaitTurn();
+    const Micros wait = pace_ != nullptr ? pace_->watch_wait() : clock_.wait();
     const Micros called_at = scheduler_.Now();
+    const bool watch = has_.has_value();
     std::string path = platform::kHostsPath;
-    if (!fresh) path += "?index=" + std::to_string(version) + "&wait=" + std::to_string(wait / kMs);
-    if (pace_ != nullptr) pace_->Called(called_at, !fresh);
+    if (watch) path += "?index=" + std::to_string(*has_) + "&wait=" + std::to_string(wait / kMs);
+    if (pace_ != nullptr) pace_->Called(called_at, watch);
+    clock_.Called(called_at, watch);
     ++counters_.list_calls;
-    Answer answer = co_await Ask(std::move(path), !fresh             ? wait + kAnswerPatience
-                                                  : pace_ != nullptr ? pace_->patience()
-                                                                     : kCallPatience);
-    const Micros now = scheduler_.Now();
-    if (answer.list) {
-      const bool news = version != answer.list->version, first = fresh;
-      fresh = false;
-      version = answer.list->version;
-      if (pace_ != nullptr) {
-        const start::CallEnd how = first || news ? start::CallEnd::kNews : start::CallEnd::kNothing;
-        pace_->Ended(now, how, now - called_at, 0, machine_.Draw());
-      }
-      told_(&*answer.list, answer.why);
-      // Guards discovery, which is shared and slow, against a watch that is answered at once with no news.
-      const Micros pause_ends = called_at + kLeastPause;
-      while (!news && scheduler_.Now() < pause_ends) co_await asked_.Wait(pause_ends);
-    } else {
-      fresh = true;
+    const Micros patience = pace_ == nullptr ? clock_.patience(watch, opens)
+                            : watch          ? wait + kPacedLate
+                                             : pace_->patience();
+    Answer answer = co_await Ask(std::move(path), patience);
+    if (!answer.list) {
+      opens = true;
       link_.reset();
       following_ = false;  // before anyone hears of it, who may ask again at once
-      if (pace_ != nullptr)
-        pace_->Ended(now, answer.how, now - called_at, answer.retry_after, machine_.Draw());
+      // What broke off, or says what is no list, may be a service that was begun anew: its whole list then.
+      if (pace_ != nullptr || answer.how == ListCallEnd::kDown) has_.reset();
+      Settle(answer, called_at, false);
       told_(nullptr, answer.why);
+      continue;
     }
+    const HostList& list = *answer.list;
+    const bool news = !watch || *has_ != list.version;
+    opens = !watch;
+    Settle(answer, called_at, news);
+    // A service that counts from further back has lost its way: its changes are no changes of what is known.
+    const bool backwards = watch && !list.full && list.version < *has_;
+    has_ = list.version;
+    if (backwards) has_.reset();
+    if (!backwards) told_(&list, answer.why);
+    // Guards discovery, which is shared and slow, against a watch that is answered at once with no news.
+    const Micros pause_ends = called_at + kLeastPause;
+    while (!news && scheduler_.Now() < pause_ends) co_await asked_.Wait(pause_ends);
   }
 }
 
+// What keeps time hears of each call's end before anybody else.
+void Discovery::Settle(const Answer& answer, Micros called_at, bool news) {
+  const Micros now = scheduler_.Now();
+  clock_.Ended(now, answer.how, answer.retry_after, machine_.Draw());
+  if (pace_ == nullptr) return;
+  start::CallEnd how = start::CallEnd::kDown;
+  if (answer.list) how = news ? start::CallEnd::kNews : start::CallEnd::kNothing;
+  if (answer.how == ListCallEnd::kSilent) how = start::CallEnd::kNoAnswer;
+  // A refusal after a while in line is for the line, and not for what is broken.
+  if (answer.how == ListCallEnd::kBusy && (answer.waited || answer.retry_after > 0))
+    how = start::CallEnd::kBusy;
+  pace_->Ended(now, how, now - called_at, answer.retry_after, machine_.Draw());
+}
+
 // One call.
 Task<Discovery::Answer> Discovery::Ask(std::string path, Micros patience) {
   const Micros called_at = scheduler_.Now(), until = called_at + patience;
@@ -117,9 +143,9 @@
     // Guards the drain rule where this process stood still: queries that came meanwhile wait in the same line
     // as the word that was told before them.
     link_->GoFirst();
-    const Micros up_by = std::min(until, scheduler_.Now() + kAnswerPatience);
+    const Micros up_by = std::min(until, scheduler_.Now() + kConnectPatience);
     bool connected = co_await Connected(*link_, up_by);
-    if (!connected && scheduler_.Now() >= up_by) answer.how = start::CallEnd::kNoAnswer;
+    if (!connected && scheduler_.Now() >= up_by) answer.how = ListCallEnd::kSilent;
     if (!connected) co_return answer;
   }
   std::string call = "GET " + path + " HTTP/1.1\r\nHost: " + config_.discovery.text + "\r\n\r\n";
@@ -137,7 +163,7 @@
       bool notified = co_await link_->Wait(until);
       if (!notified) {
         answer.why = "no answer in time";
-        answer.how = start::CallEnd::kNoAnswer;
+        answer.how = ListCallEnd::kSilent;
         co_return answer;
       }
     } else {
@@ -152,13 +178,13 @@
   answer.why = "status " + std::to_string(message.status);
   if (message.status != 200) {
     answer.retry_after = RetryAfter(message);
-    const bool waited = scheduler_.Now() - called_at >= kStoodInLine;
-    const bool busy = message.status == 503 || message.status == 429;
-    if (busy && (waited || answer.retry_after > 0)) answer.how = start::CallEnd::kBusy;
+    answer.waited = scheduler_.Now() - called_at >= kStoodInLine;
+    if (message.status == 503 || message.status == 429) answer.how = ListCallEnd::kBusy;
     co_return answer;
   }
   try {
     answer.list = ParseHostList(message.body, config_.settings);
+    answer.how = ListCallEnd::kHeard;
   } catch (const BadConfig& e) {  // an answer that can't be read is a call that failed
     answer.why = e.what();
   }
--- a/src/membership/discovery.h
+++ b/src/membership/discovery.h
@@ -8,6 +8,7 @@
 
 #include "config/platform_config.h"
 #include "io/machine.h"
+#include "membership/list_clock.h"
 #include "membership/source.h"
 #include "observe/counters.h"
 #include "start/asking.h"
@@ -20,7 +21,7 @@
   // asked for.
   Discovery(Machine& machine, const Config& config, Counters& counters, Told told,
             start::Asking* pace = nullptr);
-  void Start() override;
+  void Start(std::optional<uint64_t> has) override;
   void Follow() override;
   void Again() override;
 
@@ -29,10 +30,13 @@
   struct Answer {
     std::optional<HostList> list = {};  // nothing where it failed, in whatever way
     std::string why = {};               // then: in plain words
-    start::CallEnd how = start::CallEnd::kDown;
+    ListCallEnd how = ListCallEnd::kDown;
     Micros retry_after = 0;  // that the service asked for; 0: nothing
+    bool waited = false;     // in line, as far as the time that it took tells
   };
   Task<> Watch();
+  Task<> AwaitTurn();
+  void Settle(const Answer& answer, Micros called_at, bool news);
   Task<Answer> Ask(std::string path, Micros patience);
 
   Scheduler& scheduler_;
@@ -42,8 +46,10 @@
   Counters& counters_;
   Told told_;
   start::Asking* const pace_;
+  ListClock clock_;
   std::unique_ptr<Stream> link_;
   Event asked_;
+  std::optional<uint64_t> has_;  // the version of the list that changes go on from; nothing: none
   bool following_ = false;
   Task<> watch_;  // last: what it uses must outlive it
 };
--- /dev/null
+++ b/src/membership/list_clock.cpp
@@ -0,0 +1,74 @@
+#include "membership/list_clock.h"
+
+#include <algorithm>
+
+namespace burlfall {
+namespace {
+
+// A third of the time until what a silent watch missed counts: a second third finds it out, and the last is
+// for standing in line anew. Calls that go on with a watch cost the service no place in its line.
+constexpr Micros kWatchWait = ListClock::kSilenceCounts / 3;
+constexpr Micros kLeastWait = kSecond;
+constexpr Micros kLate = kSecond;  // an answer may come so long after its wait
+// For a place in line. The second time in a row it is longer: where the line alone takes so much, a call that
+// is given up goes to its end again and again.
+constexpr Micros kInLine = 2500 * kMs, kLongInLine = 5500 * kMs;
+// Between two calls that failed, where something is missed: drawn around it, half as much again with each.
+constexpr Micros kLeastPause = 300 * kMs, kMostPause = kSecond;
+// A Retry-After is heeded up to here, in parts of the time within which the service wants to be asked.
+constexpr int kPartsOfAsking = 3;
+// Where lists are pushed, in parts of the grace that is left once a drain counts.
+constexpr int kPartsOfGrace = 4;
+constexpr Micros kPushedPause = 200 * kMs;
+
+}  // namespace
+
+Micros ListClock::wait() const {
+  return std::min(kWatchWait, std::max(kLeastWait, rules_.must_ask_within / 2));
+}
+
+Micros ListClock::patience(bool watch, bool opens) const {
+  const Micros line = silent_ > 0 ? kLongInLine : kInLine;
+  if (!watch) return line;
+  return opens ? std::max(line, wait() + kLate) : wait() + kLate;
+}
+
+void ListClock::Called(Micros now, bool watch) {
+  called_at_ = now;
+  watch_ = watch;
+  ask_at_ = kNever;
+}
+
+Micros ListClock::Pause(double draw) const {
+  if (rules_.pushed) {
+    const Micros most = std::min(kPushedPause, rules_.drain_grace / kPartsOfGrace);
+    return std::max(10 * kMs, static_cast<Micros>((0.5 + 0.5 * draw) * static_cast<double>(most)));
+  }
+  Micros pause = kLeastPause;
+  for (int i = 1; i < failed_ && pause < kMostPause; ++i) pause += pause / 2;
+  return static_cast<Micros>((0.5 + draw) * static_cast<double>(std::min(pause, kMostPause)));
+}
+
+void ListClock::Ended(Micros now, ListCallEnd how, Micros retry_after, double draw) {
+  if (how == ListCallEnd::kHeard) {
+    silent_ = failed_ = 0;
+    counts_at_ = ask_at_ = kNever;
+    return;
+  }
+  ++failed_;
+  if (how == ListCallEnd::kSilent) {
+    ++silent_;
+    // Silence may have begun as soon as the call was out.
+    const Micros counts =
+        std::max(called_at_ + kSilenceCounts, watch_ ? called_at_ + wait() + kWaitCounts : 0);
+    counts_at_ = std::min(counts_at_, counts);
+  } else {
+    silent_ = 0;
+  }
+  if (counts_at_ == kNever && !rules_.pushed) return;  // the module asks when it is time
+  const bool first_silence = how == ListCallEnd::kSilent && failed_ == 1;
+  const Micros asked_for = std::min(retry_after, rules_.must_ask_within / kPartsOfAsking);
+  ask_at_ = first_silence ? now : now + std::max(Pause(draw), asked_for);
+}
+
+}  // namespace burlfall
--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -197,7 +197,9 @@
   if (asking_) {
     asking_->Begin(began_at_, hosts_.Ready() > 0, machine_.Draw(), estate ? 0 : BeganBefore());
   }
-  discovery_.Start();
+  // Where starts are paced, the service hands out whole lists first and begins watches once all have theirs.
+  const bool has_list = !asking_ && hosts_.Ready() > 0;
+  discovery_.Start(has_list ? std::optional<uint64_t>(hosts_.version()) : std::nullopt);
   dispatcher_.OnList(hosts_.AsItStands());
   // A module that was taken over may believe that discovery is followed.
   if (estate) discovery_.Follow();
