Lab: sites without zones, lists that are pushed, and names of any kind in paths

Need: settings that no deployment of ours has could not be played: the lab wanted a zone, wrote every site's lists as asked for, and put names into paths as they stand.

Change: `zones = []` is a site where nobody is told of any; `[site.discovery] pushed = true` is one whose lists are pushed to an agent beside each balancer, and the judge counts each change as told as soon as it is listed, from the first moment of a process. Clients escape class names, nodes read them. A history says `pushed` where it is so; older ones read as before.

--- a/src/lab/judge/facts.cpp
+++ b/src/lab/judge/facts.cpp
@@ -18,6 +18,7 @@
   for (const Action& action : script.actions) {
     facts.faults.push_back({std::string(TraitsOf(action.kind).word), action.kind, action.targets});
   }
+  facts.pushed = experiment.site.discovery.pushed;
   facts.begins_at = begins_at;
   facts.length = script.length;
   facts.settle = static_cast<Micros>(experiment.settle_s * kSecond);
--- a/src/lab/judge/facts.h
+++ b/src/lab/judge/facts.h
@@ -41,6 +41,7 @@
   std::vector<Place> nodes;  // and the spares behind them
   std::vector<Place> balancers;
   std::vector<Fault> faults;  // by the script's number of the action
+  bool pushed = false;        // lists: they count as told as soon as they are listed
   Micros begins_at = 0;
   Micros length = 0;
   Micros settle = 0;  // at the start, not counted in service, latency and outcomes; rules count throughout
--- a/src/lab/judge/history_file.cpp
+++ b/src/lab/judge/history_file.cpp
@@ -115,18 +115,20 @@
   for (const Facts::Fault& fault : facts.faults) {
     faults.push_back({{"name", fault.name}, {"kind", TraitsOf(fault.kind).word}, {"targets", fault.targets}});
   }
-  return {{"history", kHistoryVersion},
-          {"experiment", facts.experiment},
-          {"subject", facts.subject},
-          {"seed", HexOf(facts.seed)},
-          {"begins_at", facts.begins_at},
-          {"length", facts.length},
-          {"settle", facts.settle},
-          {"judge_after", facts.judge_after},
-          {"balancers", PlacesOf(facts.balancers)},
-          {"nodes", PlacesOf(facts.nodes)},
-          {"faults", faults},
-          {"settings", SettingsOf(facts.settings)}};
+  Json head = {{"history", kHistoryVersion},
+               {"experiment", facts.experiment},
+               {"subject", facts.subject},
+               {"seed", HexOf(facts.seed)},
+               {"begins_at", facts.begins_at},
+               {"length", facts.length},
+               {"settle", facts.settle},
+               {"judge_after", facts.judge_after},
+               {"balancers", PlacesOf(facts.balancers)},
+               {"nodes", PlacesOf(facts.nodes)},
+               {"faults", faults},
+               {"settings", SettingsOf(facts.settings)}};
+  if (facts.pushed) head["pushed"] = true;
+  return head;
 }
 
 // ---- Reading ---------------------------------------------------------------------------------------------
@@ -244,6 +246,7 @@
   facts.length = in.Span("length");
   facts.settle = in.Span("settle");
   facts.judge_after = in.Span("judge_after");
+  facts.pushed = in.Has("pushed") && in.Flag("pushed");
   facts.balancers = ReadPlaces(in.Any("balancers"));
   facts.nodes = ReadPlaces(in.Any("nodes"));
   for (const Json& one : in.Any("faults")) {
--- a/src/lab/judge/judge.cpp
+++ b/src/lab/judge/judge.cpp
@@ -71,7 +71,7 @@
 Judge::Judge(Facts facts)
     : facts_(std::move(facts)),
       stories_(facts_),
-      told_(facts_.settings),
+      told_(facts_.settings, facts_.pushed),
       history_(facts_),
       rules_(facts_, history_),
       tally_(std::make_unique<Tally>(facts_)),
--- a/src/lab/judge/told.cpp
+++ b/src/lab/judge/told.cpp
@@ -128,6 +128,7 @@
 ToldBook::Deemed ToldBook::DeemedTold(int balancer, int node, Micros at) const {
   const Balancer* one = lab::Find(balancers_, balancer);
   const std::deque<Change>* changes = lab::Find(listed_, node);
+  if (pushed_ && one != nullptr && changes != nullptr) return {changes, at, one->up_at, 0};
   if (must_ask_within_ <= 0 || one == nullptr || changes == nullptr || one->watching) return {};
   const Micros wait = must_ask_within_ * (one->failed ? kAfterFailure : 1);
   if (at - one->asked_at < wait) return {};
--- a/src/lab/load/query_text.cpp
+++ b/src/lab/load/query_text.cpp
@@ -22,6 +22,19 @@
   out.append(unit).append("\r\n");
 }
 
+// A name as a part of a path: with %XX for all that has a meaning there, or can't stand there.
+std::string PathPart(std::string_view name) {
+  constexpr char kHex[] = "0123456789ABCDEF";
+  std::string out;
+  for (const char c : name) {
+    const bool plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
+                       std::string_view("-._~").find(c) != std::string_view::npos;
+    const auto byte = static_cast<unsigned char>(c);
+    plain ? out += c : out.append(1, '%').append(1, kHex[byte >> 4]).append(1, kHex[byte & 15]);
+  }
+  return out;
+}
+
 }  // namespace
 
 QueryText::QueryText(const std::vector<ClassSpec>& classes, const std::vector<TenantSpec>& tenants) {
@@ -29,7 +42,7 @@
     const bool safe = one.effect == Idempotency::kSafe;
     Class& here = classes_.emplace_back();
     here.keyed = one.effect == Idempotency::kKeyed;
-    here.start = (safe ? "GET /" : "POST /") + one.name;
+    here.start = (safe ? "GET /" : "POST /") + PathPart(one.name);
     here.end = "\r\n";
     if (safe) continue;
     here.end.clear();
--- a/src/lab/script/experiment.h
+++ b/src/lab/script/experiment.h
@@ -99,10 +99,12 @@
   Range silent_late_ms = {5000, 12000};  // of a node that died without a sign
   double calls_per_s = 50;               // what it can do; further calls wait in turn
   double patience_ms = 2000;             // a call that has waited longer fails
+  bool pushed = false;                   // to an agent beside each balancer: told, asked for or not
 };
 
 struct SiteSpec {
-  std::vector<std::string> zones = {"zuerich", "bern"};
+  std::vector<std::string> zones = {"zuerich", "bern"};  // empty: the platform knows of none
+  size_t Zones() const { return zones.empty() ? 1 : zones.size(); }
   Range same_zone_us = {0, 0};  // one way, added to loopback's own
   Range cross_zone_us = {1400, 2600};
   BalancerSpec balancers;
--- a/src/lab/site/node.cpp
+++ b/src/lab/site/node.cpp
@@ -8,6 +8,7 @@
 #include <system_error>
 #include <utility>
 
+#include "codec/words.h"
 #include "config/platform.h"
 #include "lab/site/mark.h"
 
@@ -149,7 +150,8 @@
   const std::string* trace_text = query.Find(platform::kTraceId);
   const TraceId trace = trace_text != nullptr ? ReadTrace(*trace_text) : 0;
   const double hint = Span(query.Find(platform::kSizeHint));
-  const std::string_view name = FirstPart(query.target);
+  std::string name;
+  Unescaped(FirstPart(query.target), name);
   auto named = std::find_if(site_.classes.begin(), site_.classes.end(),
                             [&](const ClassSpec& one) { return one.name == name; });
   NodeQuery one;
--- a/tests/lab/rules_test.cpp
+++ b/tests/lab/rules_test.cpp
@@ -460,6 +460,21 @@
   }
 }
 
+// Listed at 500, and the balancer is there since 0, or begins at 5,000: what is pushed it has from then on.
+TEST(Draining, WhatIsPushedIsToldWhetherItIsAskedForOrNot) {
+  for (const double up_ms : {0.0, 5000.0}) {
+    for (const bool late : {false, true}) {
+      Facts facts = StageFacts();
+      facts.pushed = true;
+      Stage stage(facts);
+      stage.judge.BalancerUp(0, stage.At(up_ms));
+      stage.judge.Listed(0, meadowslip::BackendState::kDraining, 0, stage.At(500));
+      const TraceId trace = stage.Good(kRead, std::max(500.0, up_ms) + (late ? 801 : 799));
+      EXPECT_EQ(stage.Found(), late ? Stage::Only("draining", trace) : kNothing) << up_ms;
+    }
+  }
+}
+
 TEST(Draining, DeemedToldThatTheNodeIsBack) {
   Stage stage;
   stage.judge.BalancerUp(0, stage.At(0));
