Front: classes are found by escaped names too, and names by a hash

Need: a class whose name a path can't hold as it is (a blank, a sign, another script) comes escaped, and was not found: all its queries ended in 502. A tenant was looked for among all of them, one by one, with each query; settings may name 65,535.

Change: where a path's first part is no class as it stands, it is read as what was escaped; classes and tenants are found in an index that is made once.

--- a/src/front/client_link.cpp
+++ b/src/front/client_link.cpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <utility>
 
+#include "codec/words.h"
 #include "config/platform.h"
 #include "front/http_front.h"
 
@@ -44,17 +45,19 @@
   return static_cast<Micros>(std::min(number * (*unit == 'm' ? kMs : 1), static_cast<double>(kMostPatience)));
 }
 
-template <typename Named>
-int Position(const std::vector<Named>& all, std::string_view name) {
-  auto it = std::find_if(all.begin(), all.end(), [&](const Named& n) { return n.name == name; });
-  return it == all.end() ? -1 : static_cast<int>(it - all.begin());
-}
-
 std::string_view FirstPart(std::string_view target) {
   target.remove_prefix(1);
   return target.substr(0, target.find_first_of("/?"));
 }
 
+// Of a class by the first part of a path. What a path can't hold as it is stands there escaped.
+int ClassOf(const NameIndex& classes, std::string_view part) {
+  const int plain = classes.Find(PlainName(part));
+  std::string meant;
+  if (plain >= 0 || part.find('%') == std::string_view::npos || !Unescaped(part, meant)) return plain;
+  return classes.Find(PlainName(meant));
+}
+
 }  // namespace
 
 ClientLink::ClientLink(std::unique_ptr<Stream> stream, HttpFront& front, QuietLink from)
@@ -194,7 +197,7 @@
   answered_ = false;
   const meadowslip::Settings& settings = front_.parts_.config.settings;
   std::string_view path = std::string_view(message.target).substr(0, message.target.find('?'));
-  int request_class = Position(settings.classes, PlainName(FirstPart(message.target)));
+  int request_class = ClassOf(front_.classes_, FirstPart(message.target));
   const bool named = message.Find(platform::kTraceId) != nullptr;
   const bool ours = !named && message.method == "GET";
   if (ours && path == platform::kUpPath) {
@@ -214,8 +217,7 @@
     query.asker = this;
     query.request.request_class = request_class;
     const std::string* tenant = message.Find(platform::kTenant);
-    query.request.tenant =
-        tenant != nullptr ? std::max(0, Position(settings.tenants, PlainName(*tenant))) : 0;
+    query.request.tenant = tenant != nullptr ? std::max(0, front_.tenants_.Find(PlainName(*tenant))) : 0;
     if (Figures* figures = front_.parts_.figures) {
       query.labels.series = figures->Of(request_class, tenant);
       figures->Add(query.labels.series, Figure::kRequests);
--- a/src/front/http_front.cpp
+++ b/src/front/http_front.cpp
@@ -38,6 +38,8 @@
 
 HttpFront::HttpFront(const Parts& parts)
     : parts_(parts),
+      classes_(parts.config.settings.classes),
+      tenants_(parts.config.settings.tenants),
       listener_(DoorOf(parts)),
       bytes_(static_cast<size_t>(parts.config.memory_mb) * 1024 * 1024 / kHeldPart),
       sweep_(parts.machine.scheduler()),
--- a/src/front/http_front.h
+++ b/src/front/http_front.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <vector>
 
+#include "config/name_index.h"
 #include "config/platform_config.h"
 #include "dispatch/dispatcher.h"
 #include "front/client_link.h"
@@ -106,6 +107,7 @@
   void Retire(ClientLink& link);
 
   Parts parts_;
+  const NameIndex classes_, tenants_;  // of the settings, which stay as they are
   State state_ = State::kShut;
   std::unique_ptr<Listener> listener_;
   bool shut_ = true;
--- a/tests/histories/settings_test.cpp
+++ b/tests/histories/settings_test.cpp
@@ -303,6 +303,23 @@
   EXPECT_NE(Wrong(run, 1).find("answer_lost"), std::string::npos);
 }
 
+// As the platform may name things: what a path can't hold is escaped there by clients.
+TEST(Names, InAnyScriptWithBlanksAndSignsAreServedAsAnyOther) {
+  const Loaded<Experiment> plain =
+      ParseExperiment("settings.toml", TextOf({.name = "Names", .classes = kMixed}));
+  ASSERT_TRUE(plain.value);
+  Experiment site = *plain.value;
+  site.site.zones = {"Zürich, Nord"};
+  site.classes[0].name = "Auskunft über/alles?";
+  site.classes[1].name = "返却 %41";
+  site.classes[2].name = "a=b&c,d";
+  site.tenants[0].name = "Müller & Söhne";
+  site.tenants[1].name = "\"x\\y\"";
+  const VirtualRun run = PlayVirtually(site, 1);
+  EXPECT_EQ(Wrong(run, 2), "");
+  for (const GroupResult& one : run.verdict.classes) EXPECT_GT(one.outcomes.in_time, 0u) << one.name;
+}
+
 INSTANTIATE_TEST_SUITE_P(UnlikeAnyKnownSite, Settings, testing::ValuesIn(kDeployments),
                          [](const auto& one) { return std::string(one.param.name); });
 
