Dispatch: a short pause counts where drains have next to no grace

Need: what was decided before a pause is not sent after it, but a pause of up to 100 ms passed whatever the settings say; where drains have less than 50 ms of grace that is later than the rule allows.

Change: it passes for no longer than the grace and 40 of the 50 ms by which limits are longer on sockets. From 60 ms of grace on nothing changes.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr Micros kLeastGrace = 200 * kMs;  // a turn takes some time, whatever the settings say
+constexpr Micros kOnSockets = 40 * kMs;    // of the 50 ms by which each limit is longer there
 
 }  // namespace
 
@@ -279,8 +280,9 @@
   if (timeout > 0) until = std::min(until, attempt.sent_at + timeout);
   // Guards the drain rule where this process stood still in the middle of a turn: what discovery has told
   // meanwhile is heard of before the module hears of this.
-  const bool unheard =
-      attempt.sent_at - scheduler_.heard_at() > std::max(settings_.drain_grace, kLeastGrace) / 2;
+  const Micros longest =
+      std::min(std::max(settings_.drain_grace, kLeastGrace) / 2, settings_.drain_grace + kOnSockets);
+  const bool unheard = attempt.sent_at - scheduler_.heard_at() > longest;
   if (query.closed || unheard || !upstream_.Knows(backend) || n >= settings_.max_attempts ||
       until <= attempt.sent_at) {
     attempt.ended = true;
--- a/tests/histories/stall_test.cpp
+++ b/tests/histories/stall_test.cpp
@@ -31,14 +31,14 @@
   int told = 0;
 };
 
-TEST(StandsStill, NothingGoesToANodeThatWasDrainedMeanwhile) {
+void NothingGoesToADrainedNode(Micros drain_grace, Micros pause_for) {
   for (uint64_t seed = 1; seed <= 20; ++seed) {
     world::World world(1'700'000'000 * kSecond, seed);
     meadowslip::Settings settings;
     settings.classes = {
         {.idempotency = meadowslip::Idempotency::kUnsafe, .aim = 5 * kSecond, .deadline = 10 * kSecond}};
     settings.max_attempts = 3;
-    settings.drain_grace = 750 * kMs;
+    settings.drain_grace = drain_grace;
     Counters counters;
     Sent upstream;
     Patient asker;
@@ -60,7 +60,7 @@
       EXPECT_EQ(upstream.to_.size(), 1u);  // at once, as a rule
       co_await pause.Wait(world.scheduler.Now() + kMs);
       upstream.to_.clear();
-      world.scheduler.StandStill(kSecond);
+      world.scheduler.StandStill(pause_for);
       ask();
       EXPECT_TRUE(upstream.to_.empty());
       dispatcher.OnList(
@@ -76,5 +76,11 @@
   }
 }
 
+TEST(StandsStill, NothingGoesToANodeThatWasDrainedMeanwhile) {
+  NothingGoesToADrainedNode(750 * kMs, kSecond);
+}
+
+TEST(StandsStill, AShortPauseIsTooLongWhereDrainsHaveNoGrace) { NothingGoesToADrainedNode(0, 60 * kMs); }
+
 }  // namespace
 }  // namespace burlfall
