Figures: a place for each class and tenant only while there are not too many

Need: each pair of the settings' classes and tenants had a place from the start, 420 bytes each: with 60,000 tenants and one class 50 MB, with five 164 MB of a limit of 192; and each flush went through all of them.

Change: 8,192 pairs have theirs from the start. Where the settings make more, that many places are shared, and a pair has one while it is not silent.

Result: 60,000 tenants take under 16 MB (50 before), and 300 of them that ask in turn are told by their names.

--- a/src/observe/figures.cpp
+++ b/src/observe/figures.cpp
@@ -9,6 +9,7 @@
 
 constexpr size_t kMostName = 64;
 constexpr size_t kMostSeries = 256;  // besides those of the settings' own names
+constexpr size_t kMostOwn = 8192;    // pairs of these that have a place from the start: some 4 MB
 constexpr uint32_t kForget = 60;     // flushes after which a tenant that says nothing makes room
 constexpr size_t kMostWaiting = 64 * 1024 - 1;
 constexpr std::string_view kNone = "-";
@@ -49,11 +50,16 @@
       tick_(machine.scheduler()) {
   for (const auto& c : names.classes) classes_.push_back(c.name);
   const size_t classes = classes_.size() + 1;
-  all_.reserve(classes * (names.tenants.size() + 2) + kMostSeries);
+  // Guards the memory where there are many tenants: beyond so many pairs each has its place while it asks.
+  const bool all = classes * (names.tenants.size() + 2) <= kMostOwn;
+  const size_t own = all ? classes * (names.tenants.size() + 2) : std::max(kMostOwn, 2 * classes);
+  all_.reserve(own + kMostSeries);
   // Those that always have a place: clients with made-up names must not use theirs up.
   for (size_t c = 0; c < classes; ++c) {
     const int cls = c < classes_.size() ? static_cast<int>(c) : -1;
-    for (const auto& t : names.tenants) Of(cls, &t.name);
+    if (all) {
+      for (const auto& t : names.tenants) Of(cls, &t.name);
+    }
     Of(cls, nullptr);
     const std::string other(kOther);
     Of(cls, &other);
--- a/tests/features/figures_test.cpp
+++ b/tests/features/figures_test.cpp
@@ -133,6 +133,30 @@
   CHECK(set.Flushed().find("tenant:late-comer") != std::string::npos);
 }
 
+TEST_CASE("of more tenants than there is room for each has its place while it asks") {
+  meadowslip::Settings names = Names();
+  for (int i = 0; i < 60000; ++i)
+    names.tenants.emplace_back().name = std::string("n").append(std::to_string(i));
+  TextFile file;
+  RealMachine machine;
+  const size_t before = machine.ResidentBytes();
+  Outlet errors(machine.scheduler(), machine.StandardError());
+  Counters counters;
+  Figures figures(machine, {.on = true, .target = file.path, .batch_bytes = 32768}, names, errors, counters);
+  CHECK(machine.ResidentBytes() - before < size_t{16} << 20);
+  for (int round = 0; round < 3; ++round) {
+    for (int i = 0; i < 100; ++i) {
+      const std::string tenant = std::string("n").append(std::to_string(20000 * round + i));
+      figures.Add(figures.Of(0, &tenant), Figure::kRequests);
+    }
+    file.Write("");
+    figures.Flush();
+    const std::string text = file.Text();
+    CHECK(Lines(text).size() == 100);
+    CHECK(text.find("tenant:other") == std::string::npos);
+  }
+}
+
 TEST_CASE("of many times some stand for all, by their rate") {
   Set set(false);
   for (int i = 0; i < 128; ++i) set.Ask("akku-punkt-lu", 1000);
