--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -14,6 +14,8 @@
 constexpr Micros kConnectPatience = 1500 * kMs;
 constexpr Micros kLeastPause = 150 * kMs;  // a watch goes on if the next call comes within 200 ms
 constexpr Micros kStoodInLine = 500 * kMs;
+// Lists may come indented, and name thousands of nodes; what is larger is no list.
+constexpr size_t kLargestList = 2 << 20;
 constexpr Micros kPacedLate = 1500 * kMs;     // after the wait of a paced watch
 constexpr double kLongestRetryAfter = 86400;  // s
 
@@ -152,7 +154,7 @@
   answer.why = "the connection broke";
   bool written = co_await WriteAll(*link_, call, until);
   if (!written) co_return answer;
-  HttpParser parser(HttpParser::Kind::kResponse);
+  HttpParser parser(HttpParser::Kind::kResponse, kLargestList, kLargestList);
   std::string in;
   Parsed parsed = Parsed::kMore;
   while (parsed == Parsed::kMore) {
--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -18,7 +18,6 @@
 constexpr Micros kFinishFor = 300 * kMs;      // for the last lines, where what takes them is slow
 constexpr Micros kCountsFor = 600 * kSecond;  // members that were lost from sight
 constexpr Micros kSweepEvery = 500 * kMs;
-constexpr Micros kLeastPushedPause = 20 * kMs, kMostPushedPause = 200 * kMs;
 // Drained by hand: the front has looked away by then, and links that are not in use may close.
 constexpr Micros kAsideThinAfter = 600 * kMs;
 constexpr Micros kAsideStep = 50 * kMs;
@@ -205,10 +204,6 @@
   dispatcher_.OnList(hosts_.AsItStands());
   // A module that was taken over may believe that discovery is followed.
   if (estate) discovery_.Follow();
-  if (!config_.settings.must_subscribe) {
-    following_ = FollowAlways();
-    following_.Start();
-  }
   phase_ = Phase::kServing;
   dispatcher_.Start();
   sweeper_ = Sweep();
@@ -658,18 +653,6 @@
   while (!front_.Closed(machine_.Now() >= hurry_at)) co_await moved_.Wait(machine_.Now() + kCloseStep);
 }
 
-// Where lists are pushed the module asks for none: on the simulator's wire they come by themselves. Here they
-// come on a watch that somebody has to hold. Guards the drain rule: what is pushed counts as told whether or
-// not the watch is open, so one that has ended is opened anew well within the time that a drain allows.
-Task<> Program::FollowAlways() {
-  const Micros pause = std::clamp(config_.settings.drain_grace / 4, kLeastPushedPause, kMostPushedPause);
-  Event again(machine_.scheduler());
-  while (true) {
-    discovery_.Follow();
-    co_await again.Wait(machine_.Now() + pause);
-  }
-}
-
 Task<> Program::Sweep() {
   while (true) {
     co_await sweep_.Wait(machine_.Now() + kSweepEvery);
--- a/src/serve/program.h
+++ b/src/serve/program.h
@@ -118,7 +118,6 @@
   void TellDescriptors();
   Task<> Phases();
   Task<> Sweep();
-  Task<> FollowAlways();
 
   Machine& machine_;
   Config config_;
@@ -158,7 +157,6 @@
   Task<> begin_;  // the tasks last: what they use must outlive them
   Task<> phases_;
   Task<> sweeper_;
-  Task<> following_;
 };
 
 }  // namespace burlfall
--- a/tests/membership/watch_test.cpp
+++ b/tests/membership/watch_test.cpp
@@ -80,8 +80,7 @@
       co_await pause.Wait(world_.scheduler.Now() + say.after);
       if (say.reset) link.stream->Reset();
       if (say.reset) co_return;
-      std::string_view bytes = say.what ? std::string_view(*say.what) : std::string_view();
-      if (say.what) link.stream->Write(bytes);
+      if (say.what) co_await WriteAll(*link.stream, *say.what, kNever);
     }
   }
 
@@ -212,6 +211,17 @@
   }
 }
 
+// Thousands of nodes, indented.
+TEST(Watch, AListOfAMegabyteIsHeard) {
+  const Played played = Play(
+      [](size_t, const std::string&) {
+        return Service::Say{
+            Ok(R"({"version":4,"full":true,)" + std::string(1 << 20, ' ') + R"("servers":[]})")};
+      },
+      100 * kMs, false, {});
+  EXPECT_FALSE(played.heard.empty());
+}
+
 TEST(Watch, AServiceThatCountsFromFurtherBackIsAskedForItsWholeList) {
   const Played played = Play(
       [](size_t call, const std::string&) {
