--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -56,7 +57,6 @@
   bool pre_vote = true;
   bool check_quorum = true;
   bool one_change_at_a_time = true;
-  bool disk_names_voter = true;  // a voter is its name and its disk, not its name alone
   bool votes_for_newer_log_only = true;
   bool votes_once = true;       // in a term
   bool checks_previous = true;  // an append fits on the entry before it
@@ -109,8 +109,9 @@
   Message message;      // message.to says who it is for
 };
 
-// For the state machine, each index once and in order since Begin(): a snapshot, which replaces all state, or
-// an entry. Entries of kind kNothing and kVoters come as well.
+// For the state machine, each index once and in order since Begin(): a snapshot, which replaces all state
+// (with empty data: by the state that everything begins with), or an entry. Entries of kind kNothing and
+// kVoters come as well.
 struct Applied {
   std::optional<Snapshot> snapshot;
   Entry entry;  // where there is no snapshot
@@ -185,8 +186,10 @@
   explicit Core(Setup setup);
 
   // Once, before anything else. `may_vote` is false where the disk is not fit to promise on (full, read-only,
-  // damaged, another voter's): it follows what it is told, and votes and leads no more. Times are of a
-  // monotonic clock; one that goes backwards counts as standing still.
+  // damaged, another voter's). Then, as after a write that failed, it is silent among voters: no vote, no
+  // yes, no lead, no writes. Only Answer() goes on, with what it knew; the carrier keeps the member's own
+  // state machine up by a Follower. Times are of a monotonic clock; one that goes backwards counts as
+  // standing still.
   void Begin(Micros now, Stored stored, bool may_vote);
   void Heard(Micros now, const Message& message);
   // All writes through `number` are durable; or this one failed (a flush that failed once is never believed
@@ -234,13 +237,149 @@
   const std::map<std::string, uint64_t>& dropped() const { return dropped_; }  // messages, by why
 
  private:
-  Setup setup_;
-  Role role_ = Role::kFollower;
+  // What the leader knows of another voter, or of one that is to be brought in.
+  struct Peer {
+    std::string address;
+    uint64_t match = 0;  // its log agrees with this one through here, durably
+    uint64_t next = 1;   // to be sent
+    uint64_t out = 0;    // last index of the batch under way; 0: none
+    Micros out_at = 0;
+    uint64_t round = 0;     // the highest that it has answered
+    uint64_t no_round = 0;  // likewise with no
+    Micros heard_at = 0;
+    std::shared_ptr<const Snapshot> sending;  // it is that far behind
+    uint64_t offset = 0;
+  };
+  struct Configuration {
+    uint64_t index = 0;
+    std::vector<Voter> voters;
+  };
+  struct Held {
+    uint64_t number = 0;  // of the write that it rests on
+    Outgoing outgoing;
+  };
+  struct WaitingRead {
+    uint64_t token = 0;
+    uint64_t round = 0;  // answered by a majority, it counts
+    uint64_t index = 0;  // 0: not known before an entry of this term is committed
+  };
+  struct Joining {
+    Voter voter;
+    Micros until = 0;
+  };
+  struct Handing {
+    VoterId to;
+    Micros until = 0;
+  };
+
+  uint64_t Draw();
+  Micros NoticeTime(Micros now);
+  void Note(Notice::What what, const VoterId& who = {}, const std::string& text = "", uint64_t index = 0);
+  void Drop(const char* why, const VoterId& who);
+
+  uint64_t LastTerm() const;
+  std::optional<uint64_t> TermAt(uint64_t index) const;
+  const Entry& At(uint64_t index) const { return log_[index - log_first_]; }
+  size_t Majority() const { return voters_.size() / 2 + 1; }
+  const Voter* FindVoter(const VoterId& id) const;
+
+  uint64_t Keep(DiskWrite write);  // its number
+  void KeepPromise();
+  void Add(Entry entry);  // to the log in memory
+  void CutFrom(uint64_t index);
+  void TakeConfiguration();
+  void Send(const std::string& address, Message message, bool rests_on_writes = false);
+  Message Make(Message::Kind kind, const VoterId& to) const;
+  void Answer(const Message& to, Message answer, bool rests_on_writes = false);
+  void Release();
+  void LoseDisk(const std::string& why);
+
+  void Rest();  // until the next election time-out
+  void Follow(uint64_t term, const std::optional<VoterId>& leader, const std::string& why);
+  void AskAround();
+  void Stand(bool handed_over);
+  void TakeOffice();
+  void CountVotes();
+  bool LogIsAsNew(const Message& ask) const;
+  bool HearsLeader() const;
+
+  void HeardAsk(const Message& message);
+  void HeardVote(const Message& message);
+  void HeardAppend(const Message& message);
+  void HeardAppendAnswer(const Message& message);
+  void HeardPiece(const Message& message);
+  void HeardPieceAnswer(const Message& message);
+  bool HearLeader(const Message& message);
+  void Install(Snapshot snapshot);
+
+  uint64_t Lead(Entry::Kind kind, std::string data);  // the new entry's index
+  void SendTo(const VoterId& id, Peer& peer, bool heartbeat);
+  void SendBatch(const VoterId& id, Peer& peer);
+  void SendPiece(const VoterId& id, Peer& peer);
+  void SendHeartbeats();
+  void SendAll();
+  void Advance();  // the commit, as the leader
+  void CommitThrough(uint64_t index);
+  void AnswerReads();
+  void RefuseReads(Refusal why);
+  void Join();
+  void HandOver();
+  bool HasMajority() const;
+  Proposed Refuse(Refusal why) const;
+
+  const Setup setup_;
+  const Rules rules_;
+  uint64_t draws_;
+  Micros now_ = 0;
+  bool began_ = false;
+  bool may_vote_ = false;
+
   uint64_t term_ = 0;
-  std::optional<VoterId> leader_;
+  std::optional<VoterId> vote_;
+  std::shared_ptr<const Snapshot> snapshot_;
+  std::deque<Entry> log_;
+  uint64_t log_first_ = 1;
+  std::deque<Configuration> configurations_;  // the first is committed in the snapshot
+  std::vector<Voter> voters_;                 // the last of them
   uint64_t commit_ = 0;
-  std::vector<Voter> voters_;
-  bool may_vote_ = false;
+  uint64_t given_ = 0;  // to TakeApplied()
+
+  Role role_ = Role::kFollower;
+  std::optional<VoterId> leader_;
+  Micros leader_heard_at_ = 0;
+  bool leader_heard_ = false;  // in this run
+  Micros election_at_ = 0;
+  std::set<VoterId> yes_;
+  uint64_t vote_write_ = 0;  // its own vote counts once this is durable
+  bool handed_over_ = false;
+  // A snapshot on its way in.
+  Snapshot incoming_;
+  // Council time: `council_` at `council_at_` of the own clock.
+  Micros council_ = 0;
+  Micros council_at_ = 0;
+
+  uint64_t written_ = 0;  // number of the last write that came out
+  uint64_t durable_ = 0;  // likewise that is done
+  uint64_t durable_index_ = 0;
+  std::deque<std::pair<uint64_t, uint64_t>> marks_;  // write under way, and the log's last index with it
+  std::deque<Held> held_;
+
+  std::map<VoterId, Peer> peers_;  // of a leader
+  uint64_t own_term_index_ = 0;
+  uint64_t round_ = 0;
+  Micros heartbeat_at_ = 0;
+  std::deque<WaitingRead> reads_;
+  uint64_t read_round_ = 0;  // the last that was sent for reads
+  std::optional<Joining> joining_;
+  std::optional<Handing> handing_;
+  Micros follow_second_ = 0;
+  size_t followed_ = 0;
+
+  std::vector<DiskWrite> writes_;
+  std::vector<Outgoing> outgoing_;
+  std::vector<Applied> applied_;
+  std::vector<ReadAnswer> answers_;
+  std::vector<Notice> notices_;
   std::map<std::string, uint64_t> dropped_;
 };
 
@@ -281,9 +420,13 @@
 
  private:
   uint64_t Draw();
+  void NextVoter(bool failed);
+  bool TakeEntries(const FollowAnswer& answer);
+  bool TakePiece(const FollowAnswer& answer);
 
   const FollowerRules rules_;
   const std::string name_;
+  const std::vector<std::string> seeds_;
   std::vector<std::string> addresses_;
   uint64_t draws_;
   uint64_t number_ = 0;
@@ -297,6 +440,8 @@
   VoterId leader_;
   Micros heard_at_ = 0;
   uint64_t damaged_ = 0;
+  size_t failures_ = 0;  // in a row
+  size_t unknown_ = 0;   // voters in a row that don't know what it has
   // A snapshot on its way in.
   uint64_t piece_index_ = 0, piece_term_ = 0;
   std::string pieces_;
