--- a/src/consensus/core.cpp
+++ b/src/consensus/core.cpp
@@ -124,6 +124,10 @@
 uint64_t Core::first_index() const { return log_first_; }
 uint64_t Core::last_index() const { return log_first_ + log_.size() - 1; }
 
+const Entry* Core::entry(uint64_t index) const {
+  return index < log_first_ || index > last_index() ? nullptr : &At(index);
+}
+
 uint64_t Core::LastTerm() const { return log_.empty() ? snapshot_->term : log_.back().term; }
 
 // Nothing: the log does not reach back that far, or not that far on. Entry 0 is in every log.
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -226,6 +226,8 @@
   uint64_t commit() const { return commit_; }
   uint64_t first_index() const;  // of the log that is kept
   uint64_t last_index() const;
+  // Nothing where the log is not kept so far back, or ends before.
+  const Entry* entry(uint64_t index) const;
   const std::vector<Voter>& voters() const { return voters_; }  // the latest in the log, committed or not
   bool is_voter() const;
   bool may_vote() const { return may_vote_; }
