--- a/src/consensus/core.cpp
+++ b/src/consensus/core.cpp
@@ -211,7 +211,7 @@
   for (const Entry& entry : stored.log) sound = sound && entry.index == next++ && entry.term <= term_;
   // A snapshot from the leader is written before the log is cut by it; a power cut between the two leaves a
   // log that ends below it or goes on from another entry. All of that is replaced by the snapshot.
-  bool replaced = next <= snapshot_->index;
+  bool replaced = !stored.log.empty() && next <= snapshot_->index;
   for (const Entry& entry : stored.log) {
     replaced = replaced || (entry.index == snapshot_->index && entry.term != snapshot_->term);
   }
@@ -237,8 +237,15 @@
   const Micros told = log_.empty() ? snapshot_->at : log_.back().at;
   council_ = told > 0 ? told : setup_.wall;
   council_at_ = now_;
-  if (!may_vote_)
+  if (may_vote_ && replaced) {
+    // The old log goes from the disk before anything stands beside it.
+    DiskWrite write;
+    write.from = write.keep_from = log_first_;
+    Keep(std::move(write));
+  }
+  if (!may_vote_) {
     Note(Notice::What::kDiskLost, setup_.self, sound ? "not fit at the start" : "log with gaps");
+  }
   Rest();
   // Alone there is nobody to wait for.
   if (may_vote_ && is_voter() && voters_.size() == 1) election_at_ = now_;
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -96,8 +96,10 @@
     std::optional<VoterId> vote;
   };
   std::optional<Promise> promise;
-  // The snapshot on disk is replaced whole, and entries below `keep_from` may be dropped after that.
+  // The snapshot on disk is replaced whole.
   std::optional<Snapshot> snapshot;
+  // Not 0: entries below this index are dropped, after the snapshot is durable. A crash between the two is
+  // fine: Begin() takes what is left, and writes again what was not done.
   uint64_t keep_from = 0;
   // Not 0: all entries from this index on are replaced by `entries` (which may be empty).
   uint64_t from = 0;
--- a/tests/consensus/judge_test.cpp
+++ b/tests/consensus/judge_test.cpp
@@ -1,1 +1,158 @@
+// The judge refuses a planted history for each of its rules.
 #include <gtest/gtest.h>
+
+#include "consensus/wire.h"
+#include "lab/council_world/council_world.h"
+
+namespace burlfall::lab {
+namespace {
+
+using consensus::Entry;
+
+Entry Command(uint64_t index, uint64_t term, const std::string& data, Micros at = 0) {
+  return {index, term, Entry::Kind::kCommand, at, data};
+}
+
+Entry Voters(uint64_t index, const std::vector<std::string>& names) {
+  std::vector<consensus::Voter> voters;
+  for (const std::string& name : names) {
+    consensus::Voter voter;
+    voter.id.name = voter.address = name;
+    voters.push_back(voter);
+  }
+  return {index, 1, Entry::Kind::kVoters, 0, consensus::WriteVoters(voters)};
+}
+
+TEST(CouncilJudge, TakesAGoodHistory) {
+  CouncilJudge judge;
+  judge.TookOffice("a", 1, {});
+  judge.TookOffice("a", 1, {});
+  judge.InLog("a", 0, Command(1, 1, "x"));
+  judge.InLog("b", 0, Command(1, 1, "x"));
+  judge.Applied("a", Command(1, 1, "x"));
+  judge.Acknowledged(1, 1, 1);
+  judge.ReadBegan(1);
+  judge.Applied("b", Command(1, 1, "x"));
+  judge.ReadAnswered(1, 1);
+  judge.TookOffice("b", 2, {Command(1, 1, "x")});
+  // Of an earlier term than that of the one that acknowledged it, though it comes later.
+  judge.Acknowledged(2, 1, 4);
+  judge.TookOffice("c", 3, {Command(1, 1, "x")});
+  judge.AppliedSnapshot("c", 1, NextState(0, Command(1, 1, "x")));
+  judge.Applied("c", Command(2, 2, "y", 5));
+  judge.Applied("c", Voters(3, {"a", "b"}));
+  judge.ChangeBegan("b", 3, 3);
+  EXPECT_EQ(judge.broken_count(), 1u);  // time went back, from 5 to 0
+}
+
+TEST(CouncilJudge, RefusesPlantedHistories) {
+  const std::vector<std::function<void(CouncilJudge&)>> planted = {
+      [](CouncilJudge& judge) {
+        judge.TookOffice("a", 1, {});
+        judge.TookOffice("b", 1, {});
+      },
+      [](CouncilJudge& judge) {
+        judge.InLog("a", 1, Command(2, 2, "x"));
+        judge.InLog("b", 1, Command(2, 2, "y"));
+      },
+      [](CouncilJudge& judge) {
+        judge.InLog("a", 1, Command(2, 2, "x"));
+        judge.InLog("b", 0, Command(2, 2, "x"));
+      },
+      [](CouncilJudge& judge) {
+        judge.Applied("a", Command(1, 1, "x"));
+        judge.Applied("b", Command(1, 2, "x"));
+      },
+      [](CouncilJudge& judge) {
+        judge.Applied("a", Command(1, 1, "x"));
+        judge.Applied("b", Command(1, 1, "y"));
+      },
+      [](CouncilJudge& judge) { judge.Applied("a", Command(2, 1, "x")); },
+      [](CouncilJudge& judge) {
+        judge.Applied("a", Command(1, 1, "x"));
+        judge.Applied("a", Command(1, 1, "x"));
+      },
+      [](CouncilJudge& judge) {
+        judge.Applied("a", Command(1, 1, "x"));
+        judge.AppliedSnapshot("b", 1, 4711);
+      },
+      [](CouncilJudge& judge) { judge.AppliedSnapshot("b", 5, 0); },
+      [](CouncilJudge& judge) {
+        judge.Acknowledged(1, 1, 1);
+        judge.TookOffice("b", 2, {Command(1, 2, "y")});
+      },
+      [](CouncilJudge& judge) {
+        judge.Acknowledged(2, 1, 1);
+        judge.TookOffice("b", 2, {Command(1, 1, "x")});
+      },
+      [](CouncilJudge& judge) {
+        judge.Acknowledged(5, 1, 1);
+        judge.ReadBegan(1);
+        judge.ReadAnswered(1, 4);
+      },
+      [](CouncilJudge& judge) {  // what one reader was shown, the next sees
+        judge.ReadBegan(1);
+        judge.ReadAnswered(1, 4);
+        judge.ReadBegan(2);
+        judge.ReadAnswered(2, 3);
+      },
+      [](CouncilJudge& judge) {
+        judge.Applied("a", Command(1, 1, "x", 10));
+        judge.Applied("a", Command(2, 1, "y", 9));
+      },
+      [](CouncilJudge& judge) {
+        judge.Applied("a", Voters(1, {"a", "b"}));
+        judge.Applied("a", Voters(2, {"a", "b", "c", "d"}));
+      },
+      [](CouncilJudge& judge) { judge.ChangeBegan("a", 9, 8); },
+  };
+  for (size_t i = 0; i < planted.size(); ++i) {
+    CouncilJudge judge;
+    planted[i](judge);
+    EXPECT_EQ(judge.broken_count(), 1u) << i;
+  }
+}
+
+// What each of the core's cautions is for: without it, the courses of the first seeds break a rule.
+TEST(Planted, EachIsFoundWithinItsSeeds) {
+  struct Planted {
+    const char* name;
+    bool consensus::Rules::*caution;
+    uint64_t within;
+  };
+  const std::vector<Planted> all = {
+      {"vote before flush", &consensus::Rules::votes_wait_for_flush, 100},
+      {"append yes before flush", &consensus::Rules::appends_wait_for_flush, 100},
+      {"leader counts itself before its flush", &consensus::Rules::counts_itself_after_flush, 100},
+      {"read without a round", &consensus::Rules::reads_confirm, 50},
+      {"read before an entry of the own term", &consensus::Rules::reads_wait_for_own_term, 10},
+      {"two changes of voters at once", &consensus::Rules::one_change_at_a_time, 20},
+      {"vote for an older log", &consensus::Rules::votes_for_newer_log_only, 10},
+      {"two votes in a term", &consensus::Rules::votes_once, 20},
+      {"append without a look at the entry before", &consensus::Rules::checks_previous, 20},
+      {"on after a failed flush", &consensus::Rules::stops_on_failed_write, 10},
+  };
+  for (const Planted& one : all) {
+    consensus::Rules rules;
+    rules.*one.caution = false;
+    bool found = false;
+    for (uint64_t seed = 1; seed <= one.within && !found; ++seed)
+      found = PlayDrawn(seed, rules).broken_count > 0;
+    EXPECT_TRUE(found) << one.name;
+  }
+  bool found = false;
+  for (uint64_t seed = 1; seed <= 60 && !found; ++seed) found = PlayDrawn(seed, {}, true).broken_count > 0;
+  EXPECT_TRUE(found) << "a voter with an emptied disk keeps its name";
+}
+
+TEST(World, TheSameSeedPlaysTheSameCourse) {
+  const CouncilVerdict one = PlayDrawn(16), other = PlayDrawn(16);
+  EXPECT_EQ(one.acknowledged, other.acknowledged);
+  EXPECT_EQ(one.applied, other.applied);
+  EXPECT_EQ(one.leaders, other.leaders);
+  EXPECT_EQ(one.reads, other.reads);
+  EXPECT_EQ(one.kinds, other.kinds);
+}
+
+}  // namespace
+}  // namespace burlfall::lab
