--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -107,8 +107,10 @@
 };
 
 struct Outgoing {
-  std::string address;  // of the voter, as the log's configuration has it
-  Message message;      // message.to says who it is for
+  // Of the voter, as the log's configuration has it. Empty: an answer to one that this core's configuration
+  // does not name (a leader that feeds a new voter): it goes back where the message came from.
+  std::string address;
+  Message message;  // message.to says who it is for
 };
 
 // For the state machine, each index once and in order since Begin(): a snapshot, which replaces all state
