Council world: nothing is written after a write that failed

Change: a disk that failed a flush takes nothing more in that run, as the interface now asks of a carrier.

--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -87,7 +87,8 @@
 // begins anew after its majority was lost; then above each index that anybody may have seen).
 Stored FirstVoter(const Voter& self, uint64_t floor = 0);
 
-// What has to be durable. To be done in the order of the numbers: a later one may rest on an earlier.
+// What has to be durable. To be done in the order of the numbers: a later one may rest on an earlier, and
+// after one that failed none is done any more.
 struct DiskWrite {
   uint64_t number = 0;
   // These replace the term and vote on disk.
--- a/src/lab/council_world/council_world.cpp
+++ b/src/lab/council_world/council_world.cpp
@@ -157,7 +157,7 @@
   machine.index = machine.state = machine.snapshot = machine.last_change = 0;
   machine.proposed.clear();
   machine.paused = false;
-  machine.fail_next = false;
+  machine.fail_next = machine.disk_failed = false;
   machine.waiting.clear();
   machine.tick_at = kNever;
   machine.core = std::make_unique<Core>(
@@ -198,7 +198,7 @@
   ++machine.incarnation;
   size_t saved = draws_.Below(machine.pending.size() + 1);
   for (const Pending& pending : machine.pending) {
-    if (pending.fails) break;
+    if (pending.fails || machine.disk_failed) break;
     if (saved-- == 0) {
       if (how == Crash::kPower) Save(machine, pending.write, &how);
       break;
@@ -315,7 +315,7 @@
 // All that waits goes with one flush; what comes meanwhile, with the next.
 void CouncilWorld::Flush(size_t who) {
   Machine& machine = machines_[who];
-  if (machine.flushing > 0 || machine.pending.empty()) return;
+  if (machine.disk_failed || machine.flushing > 0 || machine.pending.empty()) return;
   machine.flushing = machine.pending.size();
   const Micros span = machine.slow_disk ? draws_.Span(20 * kMs, 300 * kMs)
                                         : draws_.Span(settings_.flush_least, settings_.flush_most);
@@ -336,7 +336,9 @@
     const bool saved = settings_.rules.stops_on_failed_write ? !failed : !pending.fails;
     if (saved) Save(machine, pending.write, nullptr);
   }
-  if (failed && settings_.rules.stops_on_failed_write) machine.pending.clear();
+  // Nothing is written after a write that failed.
+  machine.disk_failed = machine.disk_failed || (failed && settings_.rules.stops_on_failed_write);
+  if (machine.disk_failed) machine.pending.clear();
   const auto tell = [this, who, number, failed] {
     machines_[who].core->Wrote(Local(machines_[who]), number, !failed);
     Settle(who);
--- a/src/lab/council_world/council_world.h
+++ b/src/lab/council_world/council_world.h
@@ -118,6 +118,7 @@
     size_t flushing = 0;  // so many of the first go with the flush under way
     bool slow_disk = false;
     bool fail_next = false;
+    bool disk_failed = false;  // in this run
     std::unique_ptr<consensus::Core> core;
     std::string run;
     uint64_t incarnation = 0;
