Council world: a small council gone through in every order of messages, flushes and crashes

Change: Core::Fingerprint, lab/council_world/every_state: three voters, bounded elections, entries, crashes.

--- a/src/consensus/core.cpp
+++ b/src/consensus/core.cpp
@@ -1095,6 +1095,45 @@
   return answer;
 }
 
+std::string Core::Fingerprint() const {
+  std::string all;
+  const auto number = [&all](uint64_t n) { all.append(std::to_string(n)).append(","); };
+  const auto who = [&all](const VoterId& id) {
+    all.append(id.name).append("#").append(std::to_string(id.disk)).append(",");
+  };
+  number(may_vote_ ? 1 : 0);
+  number(term_);
+  who(vote_.value_or(VoterId{}));
+  number(static_cast<uint64_t>(role_));
+  who(leader_.value_or(VoterId{}));
+  number(snapshot_->index);
+  number(log_first_);
+  for (const Entry& entry : log_) all.append(WriteEntry(entry));
+  for (const uint64_t n : {commit_, given_, durable_index_, own_term_index_, round_, read_round_}) number(n);
+  // Numbers of writes count on for ever: what matters is how far they are from done.
+  number(written_ - durable_);
+  number(vote_write_ > durable_ ? vote_write_ - durable_ : 0);
+  for (const auto& [mark, index] : marks_) number(index);
+  for (const Held& held : held_) {
+    number(held.number - durable_);
+    all.append(Write(held.outgoing.message, ""));
+  }
+  for (const VoterId& id : yes_) who(id);
+  number(handed_over_ ? 1 : 0);
+  for (const auto& [id, peer] : peers_) {
+    who(id);
+    for (const uint64_t n : {peer.match, peer.next, peer.out, peer.round, peer.no_round, peer.offset})
+      number(n);
+    number(peer.sending ? peer.sending->index : 0);
+  }
+  for (const WaitingRead& read : reads_) {
+    for (const uint64_t n : {read.token, read.round, read.index}) number(n);
+  }
+  if (joining_) who(joining_->voter.id);
+  if (handing_) who(handing_->to);
+  return all;
+}
+
 std::map<VoterId, Micros> Core::heard_at() const {
   std::map<VoterId, Micros> all;
   for (const auto& [id, peer] : peers_) all[id] = peer.heard_at;
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -242,6 +242,8 @@
   // for naming who is missing.
   std::map<VoterId, Micros> heard_at() const;
   const std::map<std::string, uint64_t>& dropped() const { return dropped_; }  // messages, by why
+  // All that it decides by, but for times: for a tool that goes through every state.
+  std::string Fingerprint() const;
 
  private:
   // What the leader knows of another voter, or of one that is to be brought in.
--- /dev/null
+++ b/src/lab/council_world/every_state.cpp
@@ -0,0 +1,258 @@
+#include "lab/council_world/every_state.h"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <memory>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "consensus/wire.h"
+#include "lab/council_world/council_judge.h"
+
+namespace burlfall::lab {
+namespace {
+
+using consensus::Core;
+using consensus::Message;
+using consensus::Role;
+
+constexpr size_t kVoters = 3;
+constexpr Micros kLong = 3600 * kSecond;
+
+struct State {
+  // Shared by the states in which this voter stands the same; copied before it is told anything.
+  std::array<std::shared_ptr<const Core>, kVoters> cores;
+  std::array<consensus::Stored, kVoters> disks;
+  std::array<std::deque<consensus::DiskWrite>, kVoters> pending;
+  std::vector<std::pair<std::string, Message>> messages;  // on their way, sorted by their bytes
+  int elections = 0, proposals = 0, crashes = 0;
+  // What was committed anywhere: the entry's term, and that of the leader that committed it first.
+  std::vector<std::pair<uint64_t, uint64_t>> agreed;
+  std::vector<std::pair<uint64_t, size_t>> leaders;  // term, who
+};
+
+class Walk {
+ public:
+  Walk(const EveryStateBounds& bounds, consensus::Rules rules) : bounds_(bounds), rules_(rules) {
+    rules_.pre_vote = false;
+    rules_.check_quorum = false;
+    rules_.resend = kLong;
+  }
+
+  EveryStateResult Run() {
+    State first;
+    for (size_t i = 0; i < kVoters; ++i) {
+      for (size_t j = 0; j < kVoters; ++j) first.disks[i].snapshot.voters.push_back(VoterOf(j));
+      Start(first, i);
+      Core core = *first.cores[i];
+      Settle(first, i, std::move(core));
+    }
+    result_.whole = true;
+    Visit(first);
+    while (!open_.empty() && result_.broken.empty()) {
+      const State state = std::move(open_.back());
+      open_.pop_back();
+      GoOn(state);
+    }
+    result_.whole = result_.whole && open_.empty() && result_.broken.empty();
+    return result_;
+  }
+
+ private:
+  static consensus::Voter VoterOf(size_t who) {
+    consensus::Voter voter;
+    voter.id.name = voter.address = std::string(1, static_cast<char>('a' + who));
+    voter.id.disk = 1;
+    return voter;
+  }
+
+  void Start(State& state, size_t who) {
+    Core core({VoterOf(who).id, rules_, 1, 0});
+    core.Begin(0, state.disks[who], true);
+    state.cores[who] = std::make_shared<const Core>(std::move(core));
+  }
+
+  // Takes what the core wants, and looks at it.
+  void Settle(State& state, size_t who, Core core) {
+    for (const consensus::Notice& notice : core.TakeNotices()) {
+      if (notice.what == consensus::Notice::What::kLeads) TookOffice(state, who, core);
+    }
+    for (consensus::DiskWrite& write : core.TakeWrites()) state.pending[who].push_back(std::move(write));
+    for (consensus::Outgoing& outgoing : core.TakeMessages()) {
+      std::pair<std::string, Message> one{consensus::Write(outgoing.message, ""),
+                                          std::move(outgoing.message)};
+      const auto less = [](const auto& a, const auto& b) { return a.first < b.first; };
+      state.messages.insert(std::upper_bound(state.messages.begin(), state.messages.end(), one, less),
+                            std::move(one));
+    }
+    for (const consensus::Applied& applied : core.TakeApplied()) {
+      if (applied.snapshot) continue;
+      const uint64_t index = applied.entry.index;
+      if (index <= state.agreed.size()) {
+        if (state.agreed[index - 1].first != applied.entry.term) {
+          result_.broken = "two entries are committed at one index";
+        }
+      } else {
+        state.agreed.emplace_back(applied.entry.term, core.term());
+      }
+    }
+    state.cores[who] = std::make_shared<const Core>(std::move(core));
+  }
+
+  void TookOffice(State& state, size_t who, const Core& core) {
+    for (const auto& [term, leader] : state.leaders) {
+      if (term == core.term() && leader != who) result_.broken = "two leaders in a term";
+    }
+    state.leaders.emplace_back(core.term(), who);
+    for (size_t i = 0; i < state.agreed.size(); ++i) {
+      const auto& [term, led] = state.agreed[i];
+      if (led >= core.term()) continue;
+      const consensus::Entry* entry = core.entry(i + 1);
+      if (!entry || entry->term != term) result_.broken = "a leader without what was committed before";
+    }
+  }
+
+  // Answers that nobody can count any more, whatever comes: a term on disk is never gone back on, and who
+  // led in a term and leads no more never leads in it again. Without them many states are one.
+  static void Prune(State& state) {
+    std::erase_if(state.messages, [&](const auto& one) {
+      const Message& message = one.second;
+      const auto to = static_cast<size_t>(message.to.name[0] - 'a');
+      const Core& core = *state.cores[to];
+      const uint64_t sure = state.disks[to].term;
+      const bool leads = core.role() == Role::kLeader;
+      if (message.kind == Message::Kind::kVoteAnswer) {
+        return message.term < sure || (message.term == sure && (!message.yes || leads));
+      }
+      if (message.kind != Message::Kind::kAppendAnswer) return false;
+      return message.term < sure || (message.term == sure && !leads && core.term() >= sure);
+    });
+  }
+
+  // One more state, unless it was met.
+  void Visit(State state) {
+    Prune(state);
+    uint64_t one = 0, other = 7;
+    const auto add = [&](const std::string& bytes) {
+      consensus::Entry entry;
+      entry.data = bytes;
+      one = NextState(one, entry);
+      entry.index = 1;
+      other = NextState(other, entry);
+    };
+    for (size_t i = 0; i < kVoters; ++i) {
+      add(state.cores[i]->Fingerprint());
+      add("pending" + std::to_string(state.pending[i].size()));
+      std::string disk = std::to_string(state.disks[i].term);
+      if (state.disks[i].vote) disk.append(state.disks[i].vote->name);
+      for (const consensus::Entry& entry : state.disks[i].log) disk.append(consensus::WriteEntry(entry));
+      add(disk);
+      for (const consensus::DiskWrite& write : state.pending[i]) {
+        std::string bytes = std::to_string(write.from);
+        if (write.promise) {
+          bytes.append("p").append(std::to_string(write.promise->term));
+          if (write.promise->vote) bytes.append(write.promise->vote->name);
+        }
+        for (const consensus::Entry& entry : write.entries) bytes.append(consensus::WriteEntry(entry));
+        add(bytes);
+      }
+    }
+    for (const auto& message : state.messages) add(message.first);
+    std::string rest = std::to_string(state.elections * 10'000 + state.proposals * 100 + state.crashes);
+    for (const auto& [term, led] : state.agreed) rest.append(std::to_string(term * 1000 + led)).append(" ");
+    for (const auto& [term, who] : state.leaders) rest.append(std::to_string(term * 10 + who)).append("l");
+    add(rest);
+    if (!seen_.emplace(one, other).second) return;
+    ++result_.states;
+    const auto leads = [](const auto& core) { return core->role() == Role::kLeader; };
+    if (std::any_of(state.cores.begin(), state.cores.end(), leads)) ++result_.leaders;
+    if (!state.agreed.empty()) ++result_.commits;
+    if (result_.states >= bounds_.most_states) {
+      result_.whole = false;
+      open_.clear();
+      return;
+    }
+    open_.push_back(std::move(state));
+  }
+
+  void GoOn(const State& state) {
+    for (size_t i = 0; i < state.messages.size(); ++i) {
+      if (i > 0 && state.messages[i].first == state.messages[i - 1].first) continue;
+      Step(state, [i](State& next) {
+        const Message message = next.messages[i].second;
+        next.messages.erase(next.messages.begin() + static_cast<std::ptrdiff_t>(i));
+        const auto who = static_cast<size_t>(message.to.name[0] - 'a');
+        return std::pair{who, [message](Core& core) { core.Heard(0, message); }};
+      });
+    }
+    for (size_t who = 0; who < kVoters; ++who) {
+      const Core& now = *state.cores[who];
+      if (!state.pending[who].empty()) {
+        Step(state, [who](State& next) {
+          const consensus::DiskWrite write = next.pending[who].front();
+          next.pending[who].pop_front();
+          consensus::Stored& disk = next.disks[who];
+          if (write.promise) {
+            disk.term = write.promise->term;
+            disk.vote = write.promise->vote;
+          }
+          if (write.from != 0) {
+            std::erase_if(disk.log, [&](const consensus::Entry& entry) { return entry.index >= write.from; });
+            disk.log.insert(disk.log.end(), write.entries.begin(), write.entries.end());
+          }
+          return std::pair{who, [number = write.number](Core& core) { core.Wrote(0, number, true); }};
+        });
+      }
+      if (now.role() != Role::kLeader && state.elections < bounds_.elections) {
+        Step(state, [who](State& next) {
+          ++next.elections;
+          return std::pair{who, [](Core& core) { core.Tick(core.next_at()); }};
+        });
+      }
+      if (now.role() == Role::kLeader && state.proposals < bounds_.proposals) {
+        Step(state, [who](State& next) {
+          ++next.proposals;
+          return std::pair{who, [](Core& core) { core.Propose(0, "x"); }};
+        });
+      }
+      if (state.crashes < bounds_.crashes) {
+        State next = state;
+        ++next.crashes;
+        next.pending[who].clear();
+        Start(next, who);
+        Core core = *next.cores[who];
+        Settle(next, who, std::move(core));
+        ++result_.steps;
+        Visit(std::move(next));
+      }
+    }
+  }
+
+  // `change` alters the state around the voter that it names, and says what that one is told.
+  template <typename Change>
+  void Step(const State& state, Change change) {
+    State next = state;
+    const auto [who, tell] = change(next);
+    Core core = *next.cores[who];
+    tell(core);
+    Settle(next, who, std::move(core));
+    ++result_.steps;
+    Visit(std::move(next));
+  }
+
+  const EveryStateBounds bounds_;
+  consensus::Rules rules_;
+  EveryStateResult result_;
+  std::vector<State> open_;
+  std::set<std::pair<uint64_t, uint64_t>> seen_;
+};
+
+}  // namespace
+
+EveryStateResult GoThroughEveryState(const EveryStateBounds& bounds, consensus::Rules rules) {
+  return Walk(bounds, rules).Run();
+}
+
+}  // namespace burlfall::lab
