Consensus: a leader tells a voter whose disk is older than its promises

Need: a voter that comes back with an older copy of its folder must not go on as its earlier self. Change: a no from a log that ends before what this voter said yes to, sent after that yes, is kOlderDisk: it counts for nothing and is told to stop (kStop). Only the leader that had the yes sees it.

--- a/src/consensus/core.cpp
+++ b/src/consensus/core.cpp
@@ -69,6 +69,8 @@
       return "transfer-failed";
     case Notice::What::kDiskLost:
       return "disk-lost";
+    case Notice::What::kOlderDisk:
+      return "older-disk";
     case Notice::What::kDropped:
       return "dropped";
   }
@@ -338,6 +340,9 @@
     case Message::Kind::kTimeoutNow:
       if (message.term != term_ || leader_ != message.from || role_ == Role::kLeader || !is_voter()) return;
       return Stand(true);
+    case Message::Kind::kStop:
+      if (message.term < term_ || !FindVoter(message.from)) return;
+      return LoseDisk("older than its promises");
   }
 }
 
@@ -580,6 +585,7 @@
       while (hint > commit_ && hint >= log_first_ && At(hint).term == *own) --hint;
     }
     answer.index = std::max(hint, commit_);
+    answer.commit = last_index();
     return Answer(message, std::move(answer));
   }
   uint64_t match = message.index;
@@ -779,11 +785,19 @@
   if (found == peers_.end()) return Drop("not a voter", message.from);
   if (message.index > last_index() && message.yes) return Drop("beyond the log", message.from);
   Peer& peer = found->second;
+  // A no to something sent after its yes, from a log that ends before what it said yes to.
+  if (!message.yes && message.round > peer.match_round && message.commit < peer.match) {
+    Note(Notice::What::kOlderDisk, message.from, "", peer.match);
+    peer.stopped = true;
+    peer.match = peer.round = 0;
+  }
+  if (peer.stopped) return Send(peer.address, Make(Message::Kind::kStop, message.from));
   peer.heard_at = now_;
   peer.round = std::max(peer.round, std::min(message.round, round_));
   if (message.yes) {
     if (message.index > peer.match) {
       peer.match = message.index;
+      peer.match_round = message.round;
       peer.next = std::max(peer.next, peer.match + 1);
       if (peer.sending && peer.match >= peer.sending->index) peer.sending.reset();
     }
@@ -807,11 +821,13 @@
   const auto found = peers_.find(message.from);
   if (found == peers_.end()) return Drop("not a voter", message.from);
   Peer& peer = found->second;
+  if (peer.stopped) return;
   peer.heard_at = now_;
   peer.round = std::max(peer.round, std::min(message.round, round_));
   if (peer.sending && peer.sending->index == message.index) {
     if (message.yes) {
       peer.match = std::max(peer.match, message.index);
+      peer.match_round = std::max(peer.match_round, message.round);
       peer.next = peer.match + 1;
       peer.sending.reset();
       peer.out = 0;
@@ -1122,7 +1138,8 @@
   number(handed_over_ ? 1 : 0);
   for (const auto& [id, peer] : peers_) {
     who(id);
-    for (const uint64_t n : {peer.match, peer.next, peer.out, peer.round, peer.no_round, peer.offset})
+    for (const uint64_t n :
+         {peer.match, peer.next, peer.out, peer.round, peer.no_round, peer.match_round, peer.offset})
       number(n);
     number(peer.sending ? peer.sending->index : 0);
   }
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -170,10 +170,13 @@
     kJoined,       // `who` has caught up and its change is proposed, at `index`
     kJoinFailed,   // `who` did not catch up in time, or the leader changed first
     kTransferFailed,
-    kDiskLost,  // a write failed, or the disk was not fit at Begin(): no vote, no lead until a new start.
-                // Operator: mend the disk; start with the same folder if it is whole, or else with an
-                // empty one as a new voter, that is brought in by a change of voters
-    kDropped,   // a message, `text` why; counted in dropped()
+    kDiskLost,   // a write failed, or the disk was not fit at Begin(): no vote, no lead until a new start.
+                 // Operator: mend the disk; start with the same folder if it is whole, or else with an
+                 // empty one as a new voter, that is brought in by a change of voters
+    kOlderDisk,  // told by the leader: `who` has no longer what it had said yes to, through `index`. It
+                 // counts for nothing in this term and is told to stop. Operator: as kDiskLost, for that
+                 // voter
+    kDropped,  // a message, `text` why; counted in dropped()
   };
   What what = What::kLeads;
   uint64_t term = 0;
@@ -253,8 +256,10 @@
     uint64_t next = 1;   // to be sent
     uint64_t out = 0;    // last index of the batch under way; 0: none
     Micros out_at = 0;
-    uint64_t round = 0;     // the highest that it has answered
-    uint64_t no_round = 0;  // likewise with no
+    uint64_t round = 0;        // the highest that it has answered
+    uint64_t no_round = 0;     // likewise with no
+    uint64_t match_round = 0;  // of the answer that `match` is from
+    bool stopped = false;      // its disk is older than its promises
     Micros heard_at = 0;
     std::shared_ptr<const Snapshot> sending;  // it is that far behind
     uint64_t offset = 0;
--- a/src/consensus/message.h
+++ b/src/consensus/message.h
@@ -59,10 +59,12 @@
     kVoteAsk,        // index, log_term; handed_over: the old leader wants it, although it is still heard
     kVoteAnswer,     // yes
     kAppend,         // index, log_term: the entry before the first of `entries`; commit, round, at
-    kAppendAnswer,   // yes, index: the log agrees through there; no: try after `index`. round: of the append
+    kAppendAnswer,   // yes, index: the log agrees through there; no: try after `index`; commit: its last.
+                     // round
     kPiece,          // of a snapshot: index, log_term, at, voters, total, offset, data, round
     kPieceAnswer,  // index: of the snapshot; offset: bytes that are there; yes: all of it, and durable. round
     kTimeoutNow,   // stand for election at once: the leader hands over
+    kStop,         // the leader has had a yes to more than this voter\'s disk holds: it is an older one
   };
   Kind kind = Kind::kAppend;
   VoterId from;
--- a/src/consensus/wire.cpp
+++ b/src/consensus/wire.cpp
@@ -162,7 +162,7 @@
 
 Message TakeMessage(Values from) {
   Message message;
-  message.kind = static_cast<Message::Kind>(from.Number(static_cast<uint64_t>(Message::Kind::kTimeoutNow)));
+  message.kind = static_cast<Message::Kind>(from.Number(static_cast<uint64_t>(Message::Kind::kStop)));
   message.from = TakeId(from.Array());
   message.to = TakeId(from.Array());
   message.term = from.Number();
--- a/src/lab/council_world/council_world.cpp
+++ b/src/lab/council_world/council_world.cpp
@@ -258,6 +258,8 @@
       std::vector<Entry> log;
       for (uint64_t i = core.first_index(); i <= core.last_index(); ++i) log.push_back(*core.entry(i));
       judge_.TookOffice(machine.run, notice.term, log);
+    } else if (notice.what == consensus::Notice::What::kOlderDisk) {
+      judge_.Broken(machine.run + " takes a disk for an older one");  // none is, in these courses
     } else if (notice.what == consensus::Notice::What::kDropped && notice.text == "two leaders in a term") {
       judge_.Broken(notice.text + " heard by " + machine.run);
     }
--- a/tests/consensus/core_test.cpp
+++ b/tests/consensus/core_test.cpp
@@ -125,6 +125,31 @@
   EXPECT_EQ(led.core.commit(), index);
 }
 
+TEST(Core, AnOlderDiskIsTold) {
+  Led led;
+  const uint64_t index = led.core.Propose(led.now, "x").index;
+  Flush(led.core, led.now);
+  led.Answer(kC, index, led.LastRound());
+  led.core.Tick(led.core.next_at());
+  Message no = From(kC, Message::Kind::kAppendAnswer, 2);
+  no.round = led.LastRound();
+  no.commit = index - 1;  // its log ends before what it had
+  led.core.Heard(led.now, no);
+  EXPECT_EQ(led.core.TakeNotices().back().what, Notice::What::kOlderDisk);
+  const auto messages = led.core.TakeMessages();
+  ASSERT_EQ(messages.size(), 1u);
+  ASSERT_EQ(messages[0].message.kind, Message::Kind::kStop);
+  // What it says from now on counts for nothing.
+  const uint64_t next = led.core.Propose(led.now, "y").index;
+  Flush(led.core, led.now);
+  led.Answer(kC, next, led.LastRound());
+  EXPECT_LT(led.core.commit(), next);
+  Core older({kC.id, {}, 1, 0});
+  older.Begin(0, Three(), true);
+  older.Heard(1, messages[0].message);
+  EXPECT_FALSE(older.may_vote());
+}
+
 TEST(Core, AReadWaitsForARoundThatBeganAfterIt) {
   Led led;
   led.Answer(kB, 1, led.LastRound());
