--- a/src/consensus/core.cpp
+++ b/src/consensus/core.cpp
@@ -785,7 +785,8 @@
   if (found == peers_.end()) return Drop("not a voter", message.from);
   if (message.index > last_index() && message.yes) return Drop("beyond the log", message.from);
   Peer& peer = found->second;
-  // A no to something sent after its yes, from a log that ends before what it said yes to.
+  // A no from a log that ends before what it said yes to. It answers what was sent after that yes had come:
+  // a no from before the yes may come later as well.
   if (!message.yes && message.round > peer.match_round && message.commit < peer.match) {
     Note(Notice::What::kOlderDisk, message.from, "", peer.match);
     peer.stopped = true;
@@ -797,7 +798,7 @@
   if (message.yes) {
     if (message.index > peer.match) {
       peer.match = message.index;
-      peer.match_round = message.round;
+      peer.match_round = round_;
       peer.next = std::max(peer.next, peer.match + 1);
       if (peer.sending && peer.match >= peer.sending->index) peer.sending.reset();
     }
@@ -827,7 +828,7 @@
   if (peer.sending && peer.sending->index == message.index) {
     if (message.yes) {
       peer.match = std::max(peer.match, message.index);
-      peer.match_round = std::max(peer.match_round, message.round);
+      peer.match_round = round_;
       peer.next = peer.match + 1;
       peer.sending.reset();
       peer.out = 0;
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -176,7 +176,7 @@
     kOlderDisk,  // told by the leader: `who` has no longer what it had said yes to, through `index`. It
                  // counts for nothing in this term and is told to stop. Operator: as kDiskLost, for that
                  // voter
-    kDropped,  // a message, `text` why; counted in dropped()
+    kDropped,    // a message, `text` why; counted in dropped()
   };
   What what = What::kLeads;
   uint64_t term = 0;
@@ -258,7 +258,7 @@
     Micros out_at = 0;
     uint64_t round = 0;        // the highest that it has answered
     uint64_t no_round = 0;     // likewise with no
-    uint64_t match_round = 0;  // of the answer that `match` is from
+    uint64_t match_round = 0;  // the last that was sent when `match` came to be known
     bool stopped = false;      // its disk is older than its promises
     Micros heard_at = 0;
     std::shared_ptr<const Snapshot> sending;  // it is that far behind
