--- /dev/null
+++ b/src/config/council_settings.cpp
@@ -0,0 +1,103 @@
+#include "config/council_settings.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+
+#include "io/address.h"
+
+namespace burlfall {
+namespace {
+
+// Work that a balancer may ask to own. Others are refused here: a slip in a name would own nothing for ever.
+constexpr std::string_view kWorks[] = {"freeze_coordinator", "ejection_count", "list_calls"};
+
+Schema<CouncilVoter> VoterSchema() {
+  Schema<CouncilVoter> s("a balancer that votes");
+  s.Key("name", &CouncilVoter::name, "as its platform calls it").Required().Length(1, 64);
+  s.Key("address", &CouncilVoter::address, "HOST:PORT where others reach its council").Required().Length(1, 64);
+  return s;
+}
+
+void CheckAddress(Findings& findings, const std::string& key, const std::string& address) {
+  if (!ReadAddress(address)) findings.Add(key, "an address and a port, as 10.0.0.4:7950", Quoted(address));
+}
+
+void CheckVoters(const CouncilSettings& settings, Findings& findings) {
+  const size_t n = settings.voters.size();
+  if (n != 3 && n != 5 && n != 7) findings.Add("voters", "3, 5 or 7 of them", std::to_string(n));
+  std::set<std::string> names, addresses;
+  for (size_t i = 0; i < n; ++i) {
+    const std::string at = "voters[" + std::to_string(i) + "].";
+    const CouncilVoter& voter = settings.voters[i];
+    CheckAddress(findings, at + "address", voter.address);
+    if (!names.insert(voter.name).second) findings.Add(at + "name", "a name of its own", Quoted(voter.name));
+    if (!addresses.insert(voter.address).second)
+      findings.Add(at + "address", "an address of its own", Quoted(voter.address));
+  }
+}
+
+}  // namespace
+
+Schema<CouncilSettings> CouncilSchema() {
+  Schema<CouncilSettings> s("what the balancers of a site decide together, and who votes");
+  s.Key("site", &CouncilSettings::site, "members of another site are not listened to")
+      .Required()
+      .Length(1, 64);
+  s.Key("listen", &CouncilSettings::listen, "HOST:PORT for connections of other members; nothing else is bound")
+      .Required()
+      .Length(1, 64);
+  s.Key("told", &CouncilSettings::told, "HOST:PORT where others reach it; left out: as `listen`").Length(0, 64);
+  s.Key("folder", &CouncilSettings::folder,
+        "where a voter's log and everybody's highest epochs are kept, and the socket for `burlfall council`; "
+        "it must outlast a restart; $TMPDIR: the process's own folder")
+      .Required()
+      .Length(1, 4000);
+  s.Tables("voters", &CouncilSettings::voters, VoterSchema(), "the same in the files of all members")
+      .Required()
+      .Length(3, 7);
+  s.Key("wants", &CouncilSettings::wants,
+        "work that it asks to own: freeze_coordinator, ejection_count, list_calls")
+      .Length(0, 3);
+  s.Key("heartbeat_ms", &CouncilSettings::heartbeat_ms, "from one word of the leader to the next")
+      .Unit("ms")
+      .Between(20, 10000);
+  s.Key("election_ms", &CouncilSettings::election_ms,
+        "without a leader's word before a voter asks for votes, drawn anew each time")
+      .Unit("ms")
+      .Between(100, 60000);
+  s.Key("lease_s", &CouncilSettings::lease_s, "an owner without renewal may act so long")
+      .Unit("s")
+      .Between(0.5, 3600);
+  s.Key("drift", &CouncilSettings::drift, "the share by which two machines' clocks may run apart")
+      .Between(0.001, 0.5);
+  s.Key("ask_ms", &CouncilSettings::ask_ms, "for the council's answer, before it counts as without a majority")
+      .Unit("ms")
+      .Between(100, 60000);
+  s.Key("most_log", &CouncilSettings::most_log, "entries that a voter keeps before it writes a snapshot")
+      .Between(64, 1000000);
+  s.Key("step_ms", &CouncilSettings::step_ms,
+        "for laboratories: stands still between an owner's check and its act, where real machines are paused")
+      .Unit("ms")
+      .Between(0, 60000);
+  s.Check([](const CouncilSettings& settings, Findings& findings) {
+    CheckAddress(findings, "listen", settings.listen);
+    if (!settings.told.empty()) CheckAddress(findings, "told", settings.told);
+    CheckVoters(settings, findings);
+    for (size_t i = 0; i < settings.wants.size(); ++i) {
+      if (std::ranges::find(kWorks, settings.wants[i]) != std::end(kWorks)) continue;
+      findings.Add("wants[" + std::to_string(i) + "]", "freeze_coordinator, ejection_count or list_calls",
+                   Quoted(settings.wants[i]));
+    }
+    if (settings.election_ms.low < 3 * settings.heartbeat_ms)
+      findings.Add("election_ms", "three heartbeats at least", std::to_string(settings.election_ms.low));
+  });
+  return s;
+}
+
+Loaded<CouncilSettings> ParseCouncil(std::string_view file, std::string_view text) {
+  static const Schema<CouncilSettings> kSchema = CouncilSchema();
+  return kSchema.Parse(file, text);
+}
+
+}  // namespace burlfall
--- a/src/io/machine.h
+++ b/src/io/machine.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <memory>
 
+#include "io/durable.h"
 #include "io/files.h"
 #include "io/network.h"
 #include "io/scheduler.h"
@@ -19,6 +20,8 @@
   virtual Scheduler& scheduler() = 0;
   virtual Network& network() = 0;
   virtual Files& files() = 0;
+  // Its writes go on in order, and beside whoever asks. Throws std::system_error.
+  virtual std::unique_ptr<DurableWriter> Durable() = 0;
   // Unix time by the clock on the wall, which may step. Everything but dates goes by Scheduler::Now().
   virtual Micros WallClock() = 0;
   virtual uint64_t Entropy() = 0;  // from the system; for seeds alone
--- a/src/io/real_machine.cpp
+++ b/src/io/real_machine.cpp
@@ -16,6 +16,7 @@
 #include <string>
 #include <system_error>
 
+#include "io/real_durable.h"
 #include "io/real_files.h"
 #include "io/real_network.h"
 
@@ -98,6 +99,8 @@
       files_(MakeRealFiles()) {}
 RealMachine::~RealMachine() = default;
 
+std::unique_ptr<DurableWriter> RealMachine::Durable() { return MakeRealDurable(scheduler_); }
+
 Micros RealMachine::WallClock() { return Read<std::chrono::system_clock>(); }
 
 uint64_t RealMachine::Entropy() {
--- a/src/io/real_machine.h
+++ b/src/io/real_machine.h
@@ -52,6 +52,7 @@
   RealScheduler& scheduler() override { return scheduler_; }
   Network& network() override { return *network_; }
   Files& files() override { return *files_; }
+  std::unique_ptr<DurableWriter> Durable() override;
   Micros WallClock() override;
   uint64_t Entropy() override;
   std::unique_ptr<Writable> StandardError() override;
--- a/src/tools/kinds.cpp
+++ b/src/tools/kinds.cpp
@@ -1,6 +1,7 @@
 #include "config/kinds.h"
 
 #include "config/cluster_settings.h"
+#include "config/council_settings.h"
 #include "config/start_settings.h"
 #include "lab/members/scenario.h"
 #include "lab/script/experiment_file.h"
@@ -13,6 +14,8 @@
       {"start", "how a balancer's start spares the list service and the nodes", StartSchema().Spec(),
        "list_service"},
       {"cluster", "how a balancer knows the others of its site", ClusterSchema().Spec(), "seeds"},
+      {"council", "what the balancers of a site decide together, and who votes", CouncilSchema().Spec(),
+       "voters"},
       {"members", "what a cluster of members goes through in the laboratory", lab::ScenarioSchema().Spec(),
        "goals"},
       {"experiment", "what the laboratory plays", lab::ExperimentSchema().Spec(), "classes"},
--- a/src/world/virtual_machine.cpp
+++ b/src/world/virtual_machine.cpp
@@ -356,6 +356,43 @@
   VirtualMachine& machine_;
 };
 
+// On the disk at once.
+class VirtualDurable final : public DurableWriter {
+ public:
+  VirtualDurable(World& world, VirtualMachine& machine)
+      : DurableWriter(world.scheduler), files_(world.files), machine_(machine) {}
+  void Write(std::vector<DurableWrite> batch) override {
+    if (!why_.empty()) return;
+    for (DurableWrite& write : batch) {
+      if (machine_.disk_full) {
+        why_ = write.path + ": " + kDiskFull;
+        break;
+      }
+      std::string& file = files_[write.path];
+      if (write.at) {
+        file.resize(*write.at);
+        file += write.bytes;
+      } else {
+        file = std::move(write.bytes);
+      }
+      if (std::exchange(machine_.flush_fails, false)) {
+        why_ = write.path + ": Input/output error";
+        break;
+      }
+    }
+    if (why_.empty()) ++done_;
+    Notify();
+  }
+  uint64_t done() const override { return done_; }
+  std::string Why() const override { return why_; }
+
+ private:
+  std::map<std::string, std::string>& files_;
+  VirtualMachine& machine_;
+  uint64_t done_ = 0;
+  std::string why_;
+};
+
 class Said final : public Writable {
  public:
   explicit Said(std::string& to) : to_(to) {}
@@ -378,6 +415,10 @@
       network_(std::make_unique<VirtualNetwork>(world, *this)),
       files_(std::make_unique<VirtualFiles>(world, *this)) {}
 
+std::unique_ptr<DurableWriter> VirtualMachine::Durable() {
+  return std::make_unique<VirtualDurable>(world_, *this);
+}
+
 VirtualMachine::~VirtualMachine() = default;
 
 std::unique_ptr<Writable> VirtualMachine::StandardError() { return std::make_unique<Said>(said); }
--- a/src/world/virtual_machine.h
+++ b/src/world/virtual_machine.h
@@ -65,6 +65,7 @@
   Scheduler& scheduler() override { return world_.scheduler; }
   Network& network() override { return *network_; }
   Files& files() override { return *files_; }
+  std::unique_ptr<DurableWriter> Durable() override;
   Micros WallClock() override { return world_.scheduler.Now() + wall_off; }
   uint64_t Entropy() override { return world_.chance(); }
   std::unique_ptr<Writable> StandardError() override;
@@ -74,6 +75,7 @@
   size_t descriptors;      // that may be open
   size_t open = 0;         // that are
   bool disk_full = false;  // nothing more can be written
+  bool flush_fails = false;  // the next flush does, once: what was written is there, and nobody may trust it
   Micros wall_off = 0;     // what the clock on the wall is ahead of the true time
   std::string said;        // on standard error
 
