--- a/src/config/council_settings.cpp
+++ b/src/config/council_settings.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 // Work that a balancer may ask to own. Others are refused here: a slip in a name would own nothing for ever.
-constexpr std::string_view kWorks[] = {"freeze_coordinator", "ejection_count", "list_calls"};
+constexpr std::string_view kWorks[] = {"freeze", "ejection", "list_call"};
 
 Schema<CouncilVoter> VoterSchema() {
   Schema<CouncilVoter> s("a balancer that votes");
@@ -57,7 +57,7 @@
       .Required()
       .Length(3, 7);
   s.Key("wants", &CouncilSettings::wants,
-        "work that it asks to own: freeze_coordinator, ejection_count, list_calls")
+        "work that it asks to own: freeze (who opens incidents by what the fleet sees), ejection (who counts votes), list_call")
       .Length(0, 3);
   s.Key("heartbeat_ms", &CouncilSettings::heartbeat_ms, "from one word of the leader to the next")
       .Unit("ms")
@@ -86,7 +86,7 @@
     CheckVoters(settings, findings);
     for (size_t i = 0; i < settings.wants.size(); ++i) {
       if (std::ranges::find(kWorks, settings.wants[i]) != std::end(kWorks)) continue;
-      findings.Add("wants[" + std::to_string(i) + "]", "freeze_coordinator, ejection_count or list_calls",
+      findings.Add("wants[" + std::to_string(i) + "]", "freeze, ejection or list_call",
                    Quoted(settings.wants[i]));
     }
     if (settings.election_ms.low < 3 * settings.heartbeat_ms)
--- /dev/null
+++ b/src/council/state.cpp
@@ -0,0 +1,50 @@
+#include "council/state.h"
+
+#include <utility>
+
+#include "council/packing.h"
+
+namespace burlfall::council {
+namespace {
+
+constexpr uint64_t kVersion = 1;
+constexpr size_t kLargest = 64 << 20;
+
+}  // namespace
+
+std::string Envelope(const owner::Command& command) {
+  return std::string(1, static_cast<char>(Part::kOwner)) + owner::Write(command);
+}
+
+Came State::Apply(uint64_t index, Micros at, std::string_view data) {
+  Came came;
+  came.index = index;
+  came.known = false;
+  if (data.empty()) return came;
+  const std::string_view inner = data.substr(1);
+  if (data[0] == static_cast<char>(Part::kOwner)) {
+    if (const auto command = owner::ReadCommand(inner)) {
+      came.owner = owner_.Apply(index, at, *command);
+      came.known = true;
+    }
+  }
+  return came;
+}
+
+std::string State::Save() const { return Packed(2).Add(kVersion).Add(owner_.Save()).Take(); }
+
+std::optional<State> State::Load(std::string_view bytes) {
+  try {
+    Unpacked from(bytes);
+    if (from.Number() != kVersion) return {};
+    auto owner = owner::State::Load(from.Bytes(kLargest));
+    if (!owner) return {};
+    State state;
+    state.owner_ = std::move(*owner);
+    return state;
+  } catch (const Slip&) {
+    return {};
+  }
+}
+
+}  // namespace burlfall::council
