--- a/src/config/council_settings.cpp
+++ b/src/config/council_settings.cpp
@@ -15,7 +15,9 @@
 Schema<CouncilVoter> VoterSchema() {
   Schema<CouncilVoter> s("a balancer that votes");
   s.Key("name", &CouncilVoter::name, "as its platform calls it").Required().Length(1, 64);
-  s.Key("address", &CouncilVoter::address, "HOST:PORT where others reach its council").Required().Length(1, 64);
+  s.Key("address", &CouncilVoter::address, "HOST:PORT where others reach its council")
+      .Required()
+      .Length(1, 64);
   return s;
 }
 
@@ -44,10 +46,12 @@
   s.Key("site", &CouncilSettings::site, "members of another site are not listened to")
       .Required()
       .Length(1, 64);
-  s.Key("listen", &CouncilSettings::listen, "HOST:PORT for connections of other members; nothing else is bound")
+  s.Key("listen", &CouncilSettings::listen,
+        "HOST:PORT for connections of other members; nothing else is bound")
       .Required()
       .Length(1, 64);
-  s.Key("told", &CouncilSettings::told, "HOST:PORT where others reach it; left out: as `listen`").Length(0, 64);
+  s.Key("told", &CouncilSettings::told, "HOST:PORT where others reach it; left out: as `listen`")
+      .Length(0, 64);
   s.Key("folder", &CouncilSettings::folder,
         "where a voter's log and everybody's highest epochs are kept, and the socket for `burlfall council`; "
         "it must outlast a restart; $TMPDIR: the process's own folder")
@@ -57,7 +61,8 @@
       .Required()
       .Length(3, 7);
   s.Key("wants", &CouncilSettings::wants,
-        "work that it asks to own: freeze (who opens incidents by what the fleet sees), ejection (who counts votes), list_call")
+        "work that it asks to own: freeze (who opens incidents by what the fleet sees), ejection (who counts "
+        "votes), list_call")
       .Length(0, 3);
   s.Key("heartbeat_ms", &CouncilSettings::heartbeat_ms, "from one word of the leader to the next")
       .Unit("ms")
@@ -71,7 +76,8 @@
       .Between(0.5, 3600);
   s.Key("drift", &CouncilSettings::drift, "the share by which two machines' clocks may run apart")
       .Between(0.001, 0.5);
-  s.Key("ask_ms", &CouncilSettings::ask_ms, "for the council's answer, before it counts as without a majority")
+  s.Key("ask_ms", &CouncilSettings::ask_ms,
+        "for the council's answer, before it counts as without a majority")
       .Unit("ms")
       .Between(100, 60000);
   s.Key("most_log", &CouncilSettings::most_log, "entries that a voter keeps before it writes a snapshot")
--- a/src/council/links.cpp
+++ b/src/council/links.cpp
@@ -41,8 +41,8 @@
   if (link.out.size() >= kMostFrames || link.out_bytes + frame.size() > kMostBytes) {
     ++counts_.lost;
     // The first may be under way.
-    const auto oldest =
-        std::find_if(link.out.begin() + (link.out.empty() ? 0 : 1), link.out.end(), [](const Frame& f) { return f.repeats; });
+    const auto oldest = std::find_if(link.out.begin() + (link.out.empty() ? 0 : 1), link.out.end(),
+                                     [](const Frame& f) { return f.repeats; });
     if (oldest == link.out.end()) return;
     link.out_bytes -= oldest->bytes.size();
     link.out.erase(oldest);
--- a/src/council/links.h
+++ b/src/council/links.h
@@ -1,7 +1,7 @@
-// Frames on connections between members: a length of 4 bytes, then the frame. One connection in each direction
-// that is spoken in: what is said unasked goes on the connection that one made oneself, an answer on the one
-// that the question came on. Bounded queues: whoever does not take what it is sent loses the oldest of what
-// repeats itself, then what is new; all that is sent here may be lost.
+// Frames on connections between members: a length of 4 bytes, then the frame. One connection in each
+// direction that is spoken in: what is said unasked goes on the connection that one made oneself, an answer
+// on the one that the question came on. Bounded queues: whoever does not take what it is sent loses the
+// oldest of what repeats itself, then what is new; all that is sent here may be lost.
 #ifndef BURLFALL_COUNCIL_LINKS_H_
 #define BURLFALL_COUNCIL_LINKS_H_
 
--- a/src/council/packing.h
+++ b/src/council/packing.h
@@ -52,8 +52,8 @@
   explicit Unpacked(std::string_view bytes) {
     try {
       const size_t most = bytes.size();
-      handle_ = msgpack::unpack(bytes.data(), most, nullptr, nullptr,
-                                msgpack::unpack_limit(64, 0, 0, most, 0, 2));
+      handle_ =
+          msgpack::unpack(bytes.data(), most, nullptr, nullptr, msgpack::unpack_limit(64, 0, 0, most, 0, 2));
     } catch (const std::exception&) {
       throw Slip{};
     }
--- a/src/council/state.h
+++ b/src/council/state.h
@@ -1,5 +1,5 @@
-// What the council's log says, put together: one command in, what came of it out, at each member alike. No I/O,
-// no clock.
+// What the council's log says, put together: one command in, what came of it out, at each member alike. No
+// I/O, no clock.
 #ifndef BURLFALL_COUNCIL_STATE_H_
 #define BURLFALL_COUNCIL_STATE_H_
 
--- a/src/council/store.cpp
+++ b/src/council/store.cpp
@@ -12,7 +12,7 @@
 constexpr std::string_view kMagic = "bfd1";
 constexpr char kVote = 'v', kSnapshot = 's', kLog = 'l';
 constexpr size_t kHead = kMagic.size() + 1 + 8 + 4;  // magic, kind, checksum, the body's length
-constexpr size_t kRecordHead = 4 + 4 + 8;            // the body's length, a check of that, the body's checksum
+constexpr size_t kRecordHead = 4 + 4 + 8;  // the body's length, a check of that, the body's checksum
 constexpr size_t kLongestName = 256;
 constexpr size_t kLargestEntry = 16 << 20;
 constexpr size_t kLargestFile = 1 << 30;
@@ -171,7 +171,8 @@
     const std::string_view body = rest.substr(kRecordHead, length);
     if (SumOf(body) != TakeSum(rest.substr(8))) {
       // The last one's bytes may have come in part, and then it was never flushed.
-      if (AllZero(body.substr(length - std::min<size_t>(length, 16))) && AllZero(rest.substr(kRecordHead + length)))
+      if (AllZero(body.substr(length - std::min<size_t>(length, 16))) &&
+          AllZero(rest.substr(kRecordHead + length)))
         break;
       return fail("a record's checksum is wrong");
     }
@@ -192,7 +193,8 @@
   if (held.front().index > snapshot.index + 1) return fail("entries behind the snapshot are gone");
   // A snapshot from the leader took the place of a log that went another way, and the power went between.
   const uint64_t at = snapshot.index - held.front().index;
-  if (snapshot.index >= held.front().index && at < held.size() && held[at].term != snapshot.term) held.clear();
+  if (snapshot.index >= held.front().index && at < held.size() && held[at].term != snapshot.term)
+    held.clear();
   if (!held.empty() && held.back().index < snapshot.index) held.clear();
   if (held.empty()) {
     records_.clear();
--- a/src/council/store.h
+++ b/src/council/store.h
@@ -1,8 +1,9 @@
-// A voter's durable state as files: its term and vote, its snapshot, its log. Each file names the voter and its
-// disk and carries a checksum. Nothing is written here: what is to be written comes out, for a DurableWriter.
+// A voter's durable state as files: its term and vote, its snapshot, its log. Each file names the voter and
+// its disk and carries a checksum. Nothing is written here: what is to be written comes out, for a
+// DurableWriter.
 //
-// A log that ends within a record ends there: that record's flush had not come back, so nobody was told of it.
-// Anything else that is not as it was written is an error by name, and the voter does not vote.
+// A log that ends within a record ends there: that record's flush had not come back, so nobody was told of
+// it. Anything else that is not as it was written is an error by name, and the voter does not vote.
 #ifndef BURLFALL_COUNCIL_STORE_H_
 #define BURLFALL_COUNCIL_STORE_H_
 
@@ -21,11 +22,11 @@
 
 enum class StoreFault : uint8_t {
   kNone,
-  kUnusable,   // the folder: no folder, or nothing may be written there
-  kDamaged,    // a file is not what was written
-  kOther,      // it is another voter's
-  kMixed,      // its files are not of one disk
-  kMissing,    // one of its files is gone
+  kUnusable,  // the folder: no folder, or nothing may be written there
+  kDamaged,   // a file is not what was written
+  kOther,     // it is another voter's
+  kMixed,     // its files are not of one disk
+  kMissing,   // one of its files is gone
 };
 const char* NameOf(StoreFault fault);  // such as "damaged"
 
@@ -53,7 +54,8 @@
 
  private:
   std::string Headed(char kind, std::string_view body) const;
-  std::optional<std::string> Body(char kind, const std::string& path, const std::string& text, Opened& opened);
+  std::optional<std::string> Body(char kind, const std::string& path, const std::string& text,
+                                  Opened& opened);
   DurableWrite Promise(const consensus::DiskWrite::Promise& promise) const;
   DurableWrite SnapshotFile(const consensus::Snapshot& snapshot) const;
   DurableWrite LogFile();
--- a/src/council/word.h
+++ b/src/council/word.h
@@ -1,6 +1,7 @@
-// What members say to one another beside the log's own messages: who they are, proposals to the leader, reads,
-// acts under an epoch, and operators' calls. A frame is "bfn", the version of the format, a checksum of the body
-// (XXH3, 64 bits, the low byte first), and the body, one MessagePack array that begins with the site's name.
+// What members say to one another beside the log's own messages: who they are, proposals to the leader,
+// reads, acts under an epoch, and operators' calls. A frame is "bfn", the version of the format, a checksum
+// of the body (XXH3, 64 bits, the low byte first), and the body, one MessagePack array that begins with the
+// site's name.
 #ifndef BURLFALL_COUNCIL_WORD_H_
 #define BURLFALL_COUNCIL_WORD_H_
 
--- a/src/io/durable.h
+++ b/src/io/durable.h
@@ -14,8 +14,8 @@
 
 struct DurableWrite {
   std::string path;
-  // The bytes go there, and the file ends behind them. Nothing: they are the whole file, the old one or the new
-  // one whenever this process or the machine ends.
+  // The bytes go there, and the file ends behind them. Nothing: they are the whole file, the old one or the
+  // new one whenever this process or the machine ends.
   std::optional<uint64_t> at = {};
   std::string bytes;
 };
--- a/src/observe/counters.cpp
+++ b/src/observe/counters.cpp
@@ -37,6 +37,14 @@
   rare("cluster_out", cluster_out);
   rare("cluster_bytes_out", cluster_bytes_out);
   rare("cluster_calls", cluster_calls);
+  rare("council_applied", council_applied);
+  rare("council_led", council_led);
+  rare("council_proposals", council_proposals);
+  rare("council_flushes", council_flushes);
+  rare("council_acts", council_acts);
+  rare("council_obeyed", council_obeyed);
+  rare("council_fenced", council_fenced);
+  rare("council_bytes_out", council_bytes_out);
   rare("log_dropped", log_dropped);
   return all;
 }
--- a/src/observe/counters.h
+++ b/src/observe/counters.h
@@ -42,7 +42,15 @@
   uint64_t cluster_out = 0;
   uint64_t cluster_bytes_out = 0;  // of datagrams
   uint64_t cluster_calls = 0;      // connections to other members
-  uint64_t log_dropped = 0;        // lines of the log that found no room
+  uint64_t council_applied = 0;    // the last entry of the council's log that is carried out here
+  uint64_t council_led = 0;        // how often it came to lead
+  uint64_t council_proposals = 0;  // that came to it as the leader
+  uint64_t council_flushes = 0;    // of a voter's disk
+  uint64_t council_acts = 0;       // that it sent as the owner of a work
+  uint64_t council_obeyed = 0;     // acts of owners
+  uint64_t council_fenced = 0;     // acts of owners that it refused
+  uint64_t council_bytes_out = 0;
+  uint64_t log_dropped = 0;  // lines of the log that found no room
 
   std::vector<std::pair<const char*, uint64_t>> All() const;  // that there is something to tell of
   std::string Text() const;                                   // one line: name=value ...
