--- a/src/owner/executor.h
+++ b/src/owner/executor.h
@@ -1,10 +1,12 @@
-// Whoever is acted upon: it obeys no epoch that is lower than one that it has obeyed for the same work, across
-// its restarts, whatever the owner believes.
+// Whoever is acted upon: it obeys no epoch that is lower than one that it has obeyed for the same work,
+// across its restarts, whatever the owner believes.
 //
-// - With a disk, an epoch that is new to it stands on the disk, flushed, before the first act under it is obeyed.
-// - Without one, or with one that can't be read, a restart obeys nobody before the council told it the epochs:
-//   from a read that claims to be current and began after the restart. All that it can have obeyed is not above
-//   what that read says.
+// - With a disk, an epoch that is new to it stands on the disk, flushed, before the first act under it is
+// obeyed.
+// - Without one, or with one that can't be read, a restart obeys nobody before the council told it the
+// epochs:
+//   from a read that claims to be current and began after the restart. All that it can have obeyed is not
+//   above what that read says.
 #ifndef BURLFALL_OWNER_EXECUTOR_H_
 #define BURLFALL_OWNER_EXECUTOR_H_
 
@@ -32,8 +34,8 @@
   explicit Executor(ExecutorRules rules, std::optional<std::string_view> kept = std::nullopt);
 
   // Before each act. kNone: obeyed. kNotTold: ask the council for this work's epoch, then Told(), then ask
-  // again. kNotWritten: Pending() has bytes to be written; ask again after Written(). kDiskLost: the last write
-  // failed. kFenced: `highest` is higher. kTooMany: of works.
+  // again. kNotWritten: Pending() has bytes to be written; ask again after Written(). kDiskLost: the last
+  // write failed. kFenced: `highest` is higher. kTooMany: of works.
   struct Verdict {
     Error error = Error::kFenced;
     uint64_t highest = 0;
@@ -41,7 +43,8 @@
   };
   Verdict Ask(const std::string& work, uint64_t epoch);
 
-  // From a read that claims to be current and began after this object was made. 0: the work never had an owner.
+  // From a read that claims to be current and began after this object was made. 0: the work never had an
+  // owner.
   void Told(const std::string& work, uint64_t epoch);
 
   // The whole file, to be written and flushed as one; `number` comes back with Written(). Empty: nothing to
--- a/src/owner/holder.h
+++ b/src/owner/holder.h
@@ -1,6 +1,7 @@
-// The owner's own side of a work: when it asks, when it renews, and whether it may act now. It counts its lease
-// on its own monotonic clock from before it asked, so that no delay of the answer makes it longer. The clock
-// must count while the machine sleeps, or a machine that slept acts on; the executor's check holds then too.
+// The owner's own side of a work: when it asks, when it renews, and whether it may act now. It counts its
+// lease on its own monotonic clock from before it asked, so that no delay of the answer makes it longer. The
+// clock must count while the machine sleeps, or a machine that slept acts on; the executor's check holds then
+// too.
 #ifndef BURLFALL_OWNER_HOLDER_H_
 #define BURLFALL_OWNER_HOLDER_H_
 
@@ -17,9 +18,9 @@
 namespace burlfall::owner {
 
 struct HolderRules {
-  double renew_at = 0.34;              // share of the lease after which it renews
-  Micros ask_again = 500 * kMs;        // without an answer, and when in line
-  Micros margin = 0;                   // the lease ends so much earlier here: the time that an act takes
+  double renew_at = 0.34;        // share of the lease after which it renews
+  Micros ask_again = 500 * kMs;  // without an answer, and when in line
+  Micros margin = 0;             // the lease ends so much earlier here: the time that an act takes
 };
 
 // Whether an act may be sent now, and under which epoch.
@@ -50,7 +51,7 @@
   // An executor refused this epoch: somebody else owns it.
   void Fenced(uint64_t epoch);
 
-  bool owns() const { return epoch_ != 0; }  // as far as known; MayAct() decides
+  bool owns() const { return epoch_ != 0; }    // as far as known; MayAct() decides
   bool stopping() const { return stopping_; }  // to be handed over or taken away: finish, then GiveUp()
   uint64_t epoch() const { return epoch_; }
   Micros until() const { return until_; }
@@ -71,9 +72,9 @@
   Micros until_ = 0;  // on the own clock
   Micros next_at_ = 0;
   uint64_t next_request_;
-  bool asked_in_vain_ = false;            // since the last answer
-  std::map<uint64_t, Micros> asked_;      // request -> when, before it left; the last few
-  Error lost_ = Error::kNotOwner;         // why it does not own it
+  bool asked_in_vain_ = false;        // since the last answer
+  std::map<uint64_t, Micros> asked_;  // request -> when, before it left; the last few
+  Error lost_ = Error::kNotOwner;     // why it does not own it
 };
 
 }  // namespace burlfall::owner
--- a/src/owner/lapse.h
+++ b/src/owner/lapse.h
@@ -1,7 +1,8 @@
 // The council's side of leases, at whoever leads: when to propose that one has run out. It counts
-// `lease * (1 + drift)` on the leader's own monotonic clock from when it applied the grant; a leader that takes
-// office counts all anew, in full. `drift`: the bound within which two machines' monotonic clocks run alike.
-// Past that bound a lease may be called over while its holder still acts: fencing holds, promises in time don't.
+// `lease * (1 + drift)` on the leader's own monotonic clock from when it applied the grant; a leader that
+// takes office counts all anew, in full. `drift`: the bound within which two machines' monotonic clocks run
+// alike. Past that bound a lease may be called over while its holder still acts: fencing holds, promises in
+// time don't.
 #ifndef BURLFALL_OWNER_LAPSE_H_
 #define BURLFALL_OWNER_LAPSE_H_
 
@@ -14,7 +15,8 @@
 
 namespace burlfall::owner {
 
-// A lease that stands in the log. `key` and `epoch` say whose, `renewed` is the index of the entry that gave it.
+// A lease that stands in the log. `key` and `epoch` say whose, `renewed` is the index of the entry that gave
+// it.
 struct Lease {
   std::string key;
   uint64_t epoch = 0;
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -2,7 +2,8 @@
 // entries alone: no clock, no chance, no I/O. `docs/design/council_owner.md` tells why it is so.
 //
 // - A grant has an *epoch*: the fencing token, taken from the index of the entry that made it, above all that
-//   were given before, of any work, and above the floor that an operator sets when a lost council begins anew.
+//   were given before, of any work, and above the floor that an operator sets when a lost council begins
+//   anew.
 // - A grant has a *lease*, which this state does not count. Its holder counts it from before it asked
 //   (`owner/holder.h`), the leader from when it applied the grant (`owner/lapse.h`), and proposes kRunOut.
 //   kRunOut names the last renewal that its proposer knew: one that overtook it in the log makes it void.
@@ -30,9 +31,9 @@
 constexpr size_t kLongestReason = 512;  // bytes
 
 // Works that have an owner from the start.
-constexpr const char* kFreezeWork = "freeze";        // the coordinator: what the fleet sees becomes incidents
-constexpr const char* kEjectionWork = "ejection";    // counts the votes
-constexpr const char* kListCallWork = "list_call";   // asks the list service for all
+constexpr const char* kFreezeWork = "freeze";       // the coordinator: what the fleet sees becomes incidents
+constexpr const char* kEjectionWork = "ejection";   // counts the votes
+constexpr const char* kListCallWork = "list_call";  // asks the list service for all
 
 // A process: a member's name and its life's start number. Another life is another.
 struct Who {
@@ -41,7 +42,8 @@
   auto operator<=>(const Who&) const = default;
 };
 
-// The same at all replicas: they stand in the log (kRules), proposed by a leader whose settings say otherwise.
+// The same at all replicas: they stand in the log (kRules), proposed by a leader whose settings say
+// otherwise.
 struct Rules {
   Micros lease = 2 * kSecond;
   uint64_t most_works = 64;
@@ -104,10 +106,10 @@
 
 struct Work {
   std::optional<Who> owner;
-  uint64_t epoch = 0;    // the last one given, also when nobody owns it now
-  uint64_t renewed = 0;  // index of the entry that granted or last renewed it
-  Micros since = 0;      // council time of the grant
-  Micros lease = 0;      // as granted
+  uint64_t epoch = 0;           // the last one given, also when nobody owns it now
+  uint64_t renewed = 0;         // index of the entry that granted or last renewed it
+  Micros since = 0;             // council time of the grant
+  Micros lease = 0;             // as granted
   Error ending = Error::kNone;  // kHandedOver, kTakenAway: no renewal
   std::optional<Who> heir;      // of a hand-over: before the line
   std::optional<Who> barred;    // taken away from this life
