--- a/src/owner/holder.h
+++ b/src/owner/holder.h
@@ -45,8 +45,9 @@
 
   // What came back, or what the own replica applied: only effects for this life and work are taken.
   void Heard(Micros now, const Effect& effect);
-  // Before each act, and again after anything that takes long. The first that comes too late says kLeaseOver
-  // (the council did not answer in time: kNoCouncil, where it was asked), and the work is no longer its own.
+  // Before each act, and again after anything that takes long. Too late: kLeaseOver (kNoCouncil where the
+  // council was asked and has not answered). It may act again, under the same epoch, once the council has
+  // renewed it.
   Permit MayAct(Micros now);
   // An executor refused this epoch: somebody else owns it.
   void Fenced(uint64_t epoch);
@@ -65,10 +66,10 @@
   bool wants_ = false;
   bool stopping_ = false;
   uint64_t epoch_ = 0;
+  uint64_t over_ = 0;     // no epoch up to this one is its own any more
   uint64_t give_up_ = 0;  // the epoch that the council is to be told of
   int give_up_tries_ = 0;
   bool leave_line_ = false;
-  Micros lease_ = 0;
   Micros until_ = 0;  // on the own clock
   Micros next_at_ = 0;
   uint64_t next_request_;
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -24,6 +24,7 @@
 
 #include "io/time.h"
 #include "owner/errors.h"
+#include "owner/lapse.h"
 
 namespace burlfall::owner {
 
@@ -59,7 +60,7 @@
     kHandOver,  // work, epoch, to: the owner is to stop; `to` is granted it after it gave up or ran out
     kTakeAway,  // work, by, reason: likewise, and that life gets it again only after another one had it
     kRunOut,    // work, epoch, renewed: proposed by the leader
-    kFloor,     // epoch, by: all epochs from now on are above it; each grant ends. Beginning anew
+    kFloor,     // epoch, by: all epochs from now on are above it; each owner is to stop. Beginning anew
     kRules,     // rules
   };
   Kind kind = Kind::kWant;
@@ -83,7 +84,7 @@
     kQueued,   // who, request: behind `epoch`'s owner
     kRefused,  // who, request, error; `epoch` is the present one
     kStop,     // who, epoch, error: the owner is to stop and give up; renewals are refused
-    kOver,     // who, epoch: given up (error kNone), run out (kLeaseOver), by a floor (kFenced)
+    kOver,     // who, epoch: given up (error kNone), run out (kLeaseOver)
   };
   What what = What::kRefused;
   std::string work;
@@ -110,7 +111,7 @@
   uint64_t renewed = 0;         // index of the entry that granted or last renewed it
   Micros since = 0;             // council time of the grant
   Micros lease = 0;             // as granted
-  Error ending = Error::kNone;  // kHandedOver, kTakenAway: no renewal
+  Error ending = Error::kNone;  // kHandedOver, kTakenAway, kFenced (by a floor): no renewal
   std::optional<Who> heir;      // of a hand-over: before the line
   std::optional<Who> barred;    // taken away from this life
   std::deque<Waiting> line;
@@ -129,6 +130,8 @@
   // The last epoch given for it, 0 where there never was one: what an executor without a disk is told, from a
   // read that claims to be current. Never below the floor.
   uint64_t EpochOf(const std::string& work) const;
+  // All that stand, for Lapse: the key is the work's name.
+  std::vector<Lease> Leases() const;
   const Rules& rules() const { return rules_; }
   uint64_t floor() const { return floor_; }
   uint64_t last_epoch() const { return last_epoch_; }
