--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,18 +1,21 @@
 // The command line of burlfall.
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/program_options.hpp>
 #include <cerrno>
 #include <cstdlib>
 #include <exception>
 #include <filesystem>
 #include <iostream>
+#include <iterator>
 #include <memory>
 #include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
 #include <system_error>
+#include <utility>
 #include <vector>
 
 #include "config/platform_config.h"
@@ -20,6 +23,7 @@
 #include "gates/tokens.h"
 #include "io/real_machine.h"
 #include "observe/log.h"
+#include "owner/errors.h"
 #include "replay/replay.h"
 #include "serve/serve.h"
 
@@ -30,6 +34,8 @@
 
 constexpr int kUsageError = 2;
 constexpr Micros kClusterPatience = 2 * kSecond;
+constexpr Micros kCouncilPatience = 20 * kSecond;
+constexpr int kCouncilError = 10;  // and the error's number: how `burlfall council` ends
 constexpr int64_t kLongestToken = 10 * 365 * 86400;
 constexpr char kUsage[] =
     "usage: burlfall COMMAND [OPTIONS]\n"
@@ -38,6 +44,9 @@
     "  check-config   reads the configuration, prints what it says and ends\n"
     "  cluster        asks a balancer that runs with --cluster about the others: members, watch, "
     "who-differs, explain\n"
+    "  council        asks a balancer that runs with --council what they decided together: status, explain; "
+    "and\n"
+    "                 tells them: begin, add, remove, hand-over, take-away, incident\n"
     "  replay         feeds a capture to the decisions and prints where they differ\n"
     "  token issue    prints a token, signed with one of the operators' keys\n"
     "  lab            a site to try balancers on: load, experiments, reports (burlfall-lab)\n"
@@ -49,7 +58,8 @@
     "PROXY_DISCOVERY go before what it says. A balancer that runs prints its counters on SIGUSR1, and reads\n"
     "its files anew on SIGHUP. burlfall COMMAND --help tells a command's options.\n";
 
-int CheckConfig(const std::string& path, const std::string& start, const std::string& cluster) {
+int CheckConfig(const std::string& path, const std::string& start, const std::string& cluster,
+                const std::string& council) {
   RealMachine machine;
   const auto environment = [](const char* name) -> const char* { return std::getenv(name); };
   Config config = LoadConfig(environment, machine.files());
@@ -57,6 +67,7 @@
   std::string wrong;
   if (!start.empty()) ReadStart(start, machine.files(), wrong);
   if (!cluster.empty()) ReadCluster(cluster, machine.files(), wrong);
+  if (!council.empty()) ReadCouncil(council, machine.files(), wrong);
   if (!wrong.empty()) {
     std::cerr << wrong;
     return kUsageError;
@@ -111,17 +122,17 @@
   return !given.contains("help");
 }
 
-// Asks the process at the Unix socket, and prints what it says.
-int AskOnce(const std::string& socket, const std::string& question) {
+// What the process at the Unix socket says; nothing where nobody answers, which is then told.
+std::optional<std::string> AskAt(const std::string& socket, const std::string& question, Micros patience) {
   RealMachine machine;
   const std::unique_ptr<Channel> channel = machine.network().Meet(socket);
   if (!channel) {
     std::cerr << "burlfall: nobody answers at " << socket << "\n";
-    return 1;
+    return {};
   }
-  bool answered = false;
+  std::optional<std::string> answer;
   auto asking = [&]() -> Task<> {
-    const Micros until = machine.Now() + kClusterPatience;
+    const Micros until = machine.Now() + patience;
     Io io = channel->Send(question);
     while (io == Io::kLater && co_await channel->Wait(until)) io = channel->Send(question);
     std::string piece;
@@ -129,8 +140,7 @@
     while (io == Io::kSome) {
       const Io came = channel->Receive(piece, along);
       if (came == Io::kSome) {
-        answered = true;
-        std::cout << piece;
+        answer = answer.value_or("") + piece;
       } else if (came != Io::kLater || !co_await channel->Wait(until)) {
         break;
       }
@@ -140,8 +150,63 @@
   Task<> task = asking();
   task.Start();
   machine.scheduler().Run();
-  if (!answered) std::cerr << "burlfall: no answer at " << socket << "\n";
-  return answered ? 0 : 1;
+  if (!answer) std::cerr << "burlfall: no answer at " << socket << "\n";
+  return answer;
+}
+
+// Asks the process at the Unix socket, and prints what it says.
+int AskOnce(const std::string& socket, const std::string& question) {
+  const std::optional<std::string> answer = AskAt(socket, question, kClusterPatience);
+  if (!answer) return 1;
+  std::cout << *answer;
+  return 0;
+}
+
+// What an operator asks or tells the council. An error ends with its own code (docs/council.md), 10 and more.
+int AskCouncil(const std::vector<std::string>& words) {
+  options::variables_map given;
+  int code = 0;
+  std::string socket;
+  options::options_description known(
+      "burlfall council WHAT --socket PATH [--json]\n"
+      "  status                              where it stands: voters, leader, who owns what\n"
+      "  explain NAME                        of a voter or a work, what was told of it\n"
+      "  begin [FLOOR]                       the log begins, on this voter; FLOOR after a majority was lost\n"
+      "  add NAME | remove NAME              a change of voters, one at a time\n"
+      "  hand-over WORK NAME                 to a member that waits for it\n"
+      "  take-away WORK BY REASON            from its owner");
+  known.add_options()(
+      "socket", options::value(&socket)->value_name("PATH")->required(),
+      "the balancer's socket: burlfall-NAME.council in the folder that its council.toml names")("json",
+                                                                                                "as JSON");
+  std::vector<std::string> said;
+  size_t at = 0;
+  while (at < words.size() && !words[at].starts_with("-")) said.push_back(words[at++]);
+  if (!Options(known, {words.begin() + static_cast<std::ptrdiff_t>(at), words.end()}, given, code))
+    return code;
+  if (said.empty())
+    return UsageError("council knows status, explain, begin, add, remove, hand-over and take-away");
+  constexpr std::pair<std::string_view, size_t> kKnown[] = {
+      {"status", 1}, {"explain", 2},   {"begin", 1},     {"add", 2},
+      {"remove", 2}, {"hand-over", 3}, {"take-away", 4}, {"incident", 2}};
+  const auto* const one = std::ranges::find(kKnown, said[0], &std::pair<std::string_view, size_t>::first);
+  if (one == std::end(kKnown)) return UsageError("council does not know " + said[0]);
+  if (said.size() < one->second) return UsageError("council " + said[0] + ": too few words");
+  std::string question;
+  for (const std::string& word : said) question += (question.empty() ? "" : " ") + word;
+  if (given.contains("json")) question += " json";
+  const std::optional<std::string> answer = AskAt(socket, question, kCouncilPatience);
+  if (!answer) return 1;
+  if (!answer->starts_with("!")) {
+    std::cout << *answer;
+    return 0;
+  }
+  const std::string name = answer->substr(1, answer->find(':') - 1);
+  std::cerr << "burlfall: " << answer->substr(1);
+  for (int error = 0; error < owner::kErrors; ++error) {
+    if (name == owner::NameOf(static_cast<owner::Error>(error))) return kCouncilError + error;
+  }
+  return 1;
 }
 
 int AskCluster(const std::vector<std::string>& words) {
@@ -190,9 +255,9 @@
   }
   if (command == "serve" || command == "check-config") {
     const bool serve = command == "serve";
-    std::string format = "text", start, cluster;
+    std::string format = "text", start, cluster, council;
     options::options_description known("burlfall " + command +
-                                       " [--config FILE] [--start FILE] [--cluster FILE]" +
+                                       " [--config FILE] [--start FILE] [--cluster FILE] [--council FILE]" +
                                        (serve ? " [--log-format text|json]" : ""));
     known.add_options()("config", options::value(&file)->value_name("FILE"),
                         "the operators' properties; without them every feature is off");
@@ -202,6 +267,9 @@
     known.add_options()(
         "cluster", options::value(&cluster)->value_name("FILE"),
         "how it knows the other balancers (deploy/cluster.toml); without it, it knows of none");
+    known.add_options()(
+        "council", options::value(&council)->value_name("FILE"),
+        "what it decides together with the others (deploy/council.toml); without it, nothing");
     if (serve) {
       known.add_options()("log-format", options::value(&format)->value_name("FORMAT"),
                           "text, or json: each event of the log as one line of JSON");
@@ -210,11 +278,13 @@
     if (given.contains("config") && file.empty()) return UsageError("--config names no file");
     if (given.contains("start") && start.empty()) return UsageError("--start names no file");
     if (given.contains("cluster") && cluster.empty()) return UsageError("--cluster names no file");
+    if (given.contains("council") && council.empty()) return UsageError("--council names no file");
     const std::optional<LogFormat> log = ReadLogFormat(format);
     if (!log) return UsageError("--log-format is text or json");
-    return serve ? Serve(file, *log, start, cluster) : CheckConfig(file, start, cluster);
+    return serve ? Serve(file, *log, start, cluster, council) : CheckConfig(file, start, cluster, council);
   }
   if (command == "cluster") return AskCluster(rest);
+  if (command == "council") return AskCouncil(rest);
   if (command == "token") {
     std::string key, holder, classes;
     int64_t ttl = 0;
--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -75,7 +75,8 @@
 }  // namespace
 
 Program::Program(Machine& machine, Config config, const Properties& properties, Log& log, Counters& counters,
-                 const std::optional<StartSettings>& start, const std::optional<ClusterSettings>& cluster)
+                 const std::optional<StartSettings>& start, const std::optional<ClusterSettings>& cluster,
+                 const std::optional<CouncilSettings>& council)
     : machine_(machine),
       config_(std::move(config)),
       log_(log),
@@ -94,6 +95,7 @@
           counters_),
       front_({machine, config_, dispatcher_, budget_, tokens_, door_, figures_.get(), counters_, NotReady()}),
       cluster_(cluster),
+      council_settings_(council),
       moved_(machine.scheduler()),
       sweep_(machine.scheduler()) {
   if (config_.admin.length > 0)
@@ -115,8 +117,15 @@
   front_.OnNothingOwed([this] { moved_.Notify(); });
 }
 
-// As a member of the cluster. Of the two processes of an upgrade it is the one that has the door.
+// As a member of the cluster and the council. Of the two processes of an upgrade it is the one that has the
+// door.
 void Program::Join() {
+  if (council_settings_) {
+    const std::string& place = Named(config_, council_settings_->folder);
+    council_.emplace(machine_, *council_settings_,
+                     Council::Setup{config_.name, PathFor(config_, place, ""), place}, log_, counters_);
+    council_->Start();
+  }
   if (!cluster_) return;
   const ClusterSettings& cluster = *cluster_;
   ClusterMember::Setup setup;
@@ -476,7 +485,8 @@
   phase_ = Phase::kHandedOver;
   log_.Tell<"handed_over">(front_.open(), dispatcher_.open());
   front_.Shut();
-  member_.reset();  // without a word: the heir goes on in its place, and nobody misses it
+  member_.reset();   // without a word: the heir goes on in its place, and nobody misses it
+  council_.reset();  // likewise; its disk and its address are the heir's
   hosts_.LeaveCold(true, machine_.Now());
   HostsChanged();
   upstream_.RetireAll();
@@ -615,6 +625,7 @@
   }
   if (handover_) handover_->End();
   if (member_) member_->Leave();
+  if (council_) council_->Leave();
   co_await Closing();
   phase_ = Phase::kStopped;
   machine_.scheduler().Stop();
--- a/src/serve/program.h
+++ b/src/serve/program.h
@@ -11,11 +11,13 @@
 #include <vector>
 
 #include "config/cluster_settings.h"
+#include "config/council_settings.h"
 #include "config/platform_config.h"
 #include "config/properties.h"
 #include "config/start_settings.h"
 #include "control/control_front.h"
 #include "control/operations.h"
+#include "council/council.h"
 #include "dispatch/dispatcher.h"
 #include "front/http_front.h"
 #include "gates/door.h"
@@ -53,9 +55,11 @@
   // Binds the addresses; throws std::system_error where that can't be done. `log` and `counters` must outlive
   // it.
   // `start`: the operators' settings of the start; without them nothing of src/start is on. `cluster`: those
-  // of the cluster; without them it knows of no other balancer.
+  // of the cluster; without them it knows of no other balancer. `council`: those of what is decided together;
+  // without them it asks nobody and nobody asks it.
   Program(Machine& machine, Config config, const Properties& properties, Log& log, Counters& counters,
-          const std::optional<StartSettings>& start = {}, const std::optional<ClusterSettings>& cluster = {});
+          const std::optional<StartSettings>& start = {}, const std::optional<ClusterSettings>& cluster = {},
+          const std::optional<CouncilSettings>& council = {});
 
   void Start();
   void Drain();  // ends, in order: the scheduler stops once it has
@@ -142,6 +146,8 @@
   std::optional<Handover> handover_;
   const std::optional<ClusterSettings> cluster_;
   std::optional<ClusterMember> member_;
+  const std::optional<CouncilSettings> council_settings_;
+  std::optional<Council> council_;
   Phase phase_ = Phase::kStarting;
   Phase before_hand_on_ = Phase::kServing;
   bool end_asked_ = false;  // before it served
--- a/src/serve/serve.cpp
+++ b/src/serve/serve.cpp
@@ -87,8 +87,12 @@
   return ReadSettings(ParseCluster, path, files, errors);
 }
 
+std::optional<CouncilSettings> ReadCouncil(const std::string& path, Files& files, std::string& errors) {
+  return ReadSettings(ParseCouncil, path, files, errors);
+}
+
 int Serve(const std::string& path, LogFormat format, const std::string& start_path,
-          const std::string& cluster_path) {
+          const std::string& cluster_path, const std::string& council_path) {
   // Before all else: a signal that comes while the program starts must wait, not end it.
   RealMachine machine;
   ProcessSignals signals(machine.scheduler(), {SIGTERM, SIGINT, SIGUSR1, SIGHUP});
@@ -99,9 +103,11 @@
   const Properties properties = ReadProperties(path, machine.files());
   std::optional<StartSettings> start;
   std::optional<ClusterSettings> cluster;
+  std::optional<CouncilSettings> council;
   std::string wrong;
   if (!start_path.empty()) start = ReadStart(start_path, machine.files(), wrong);
   if (!cluster_path.empty()) cluster = ReadCluster(cluster_path, machine.files(), wrong);
+  if (!council_path.empty()) council = ReadCouncil(council_path, machine.files(), wrong);
   if (!wrong.empty()) {
     std::fputs(wrong.c_str(), stderr);
     return kUnusableFile;
@@ -109,7 +115,7 @@
   Outlet errors(machine.scheduler(), machine.StandardError());
   Counters counters;
   Log log(machine.scheduler(), errors, format, counters);
-  Program program(machine, config, properties, log, counters, start, cluster);
+  Program program(machine, config, properties, log, counters, start, cluster, council);
   log.Tell<"starting">(config.name, BURLFALL_VERSION, config.discovery.text, config.known.hosts.size(),
                        program.descriptors(), properties.On());
   Task<> hearing = HearSignals(signals, program, path, machine.files(), log);
