--- a/src/council/state.cpp
+++ b/src/council/state.cpp
@@ -13,7 +13,8 @@
 }  // namespace
 
 std::string Envelope(const owner::Command& command) {
-  return std::string(1, static_cast<char>(Part::kOwner)) + owner::Write(command);
+  std::string data(1, static_cast<char>(Part::kOwner));
+  return data += owner::Write(command);
 }
 
 Came State::Apply(uint64_t index, Micros at, std::string_view data) {
--- a/src/council/view.cpp
+++ b/src/council/view.cpp
@@ -14,23 +14,23 @@
 std::string Number(uint64_t number) { return std::to_string(number); }
 
 std::string Pair(const char* key, const std::string& value) {
-  return "\"" + std::string(key) + "\":" + value;
+  return std::string("\"").append(key).append("\":").append(value);
 }
 
 std::string List(const std::vector<std::string>& words) {
   std::string out = "[";
-  for (const std::string& word : words) out += (out.size() > 1 ? "," : "") + Quote(word);
+  for (const std::string& word : words) out.append(out.size() > 1 ? "," : "").append(Quote(word));
   return out + "]";
 }
 
 std::string Json(const VoterView& voter) {
-  return "{" + Pair("name", Quote(voter.name)) + "," + Pair("disk", Quote(Number(voter.disk))) + "," +
+  return std::string("{") + Pair("name", Quote(voter.name)) + "," + Pair("disk", Quote(Number(voter.disk))) + "," +
          Pair("address", Quote(voter.address)) + "," + Pair("leads", voter.leads ? "true" : "false") + "," +
          Pair("heard_ms_ago", std::to_string(voter.heard_ago < 0 ? -1 : voter.heard_ago / kMs)) + "}";
 }
 
 std::string Json(const WorkView& work) {
-  return "{" + Pair("work", Quote(work.work)) + "," + Pair("owner", Quote(work.owner)) + "," +
+  return std::string("{") + Pair("work", Quote(work.work)) + "," + Pair("owner", Quote(work.owner)) + "," +
          Pair("life", Number(work.life)) + "," + Pair("epoch", Number(work.epoch)) + "," +
          Pair("obeyed", Number(work.obeyed)) + "," + Pair("own", work.own ? "true" : "false") + "," +
          Pair("left_ms", std::to_string(work.left / kMs)) + "," +
@@ -40,14 +40,14 @@
 std::string Text(const VoterView& voter) {
   std::string out = voter.name + "  " + voter.address + "  disk " + Number(voter.disk);
   if (voter.leads) out += "  leads";
-  if (voter.heard_ago >= 0) out += "  heard " + Seconds(voter.heard_ago) + " ago";
+  if (voter.heard_ago >= 0) out.append("  heard ") += Seconds(voter.heard_ago) + " ago";
   return out;
 }
 
 std::string Text(const WorkView& work) {
   std::string out =
       work.work + "  " + (work.owner.empty() ? "nobody's" : work.owner) + "  epoch " + Number(work.epoch);
-  if (work.own) out += "  own, for " + Seconds(work.left);
+  if (work.own) out.append("  own, for ") += Seconds(work.left);
   if (work.ending != owner::Error::kNone) out += std::string("  ends: ") + owner::NameOf(work.ending);
   for (const std::string& next : work.line) out += "  then " + next;
   return out + "  obeyed here: " + Number(work.obeyed);
@@ -71,17 +71,17 @@
                     ", carried out " + Number(view.applied) + "\n";
   if (!view.fault.empty()) out += "disk: " + view.fault + "\n";
   for (const std::string& missing : view.missing) out += "missing: " + missing + "\n";
-  for (const VoterView& voter : view.voters) out += "voter " + Text(voter) + "\n";
-  for (const WorkView& work : view.works) out += "work " + Text(work) + "\n";
+  for (const VoterView& voter : view.voters) out.append("voter ") += Text(voter) + "\n";
+  for (const WorkView& work : view.works) out.append("work ") += Text(work) + "\n";
   return out + "acts obeyed " + Number(view.obeyed) + ", refused " + Number(view.fenced) + "; " +
          Number(view.followers) + " follow here\n";
 }
 
 std::string StatusJson(const View& view) {
   std::string voters, works;
-  for (const VoterView& voter : view.voters) voters += (voters.empty() ? "" : ",") + Json(voter);
-  for (const WorkView& work : view.works) works += (works.empty() ? "" : ",") + Json(work);
-  return "{" + Pair("name", Quote(view.name)) + "," + Pair("role", Quote(view.role)) + "," +
+  for (const VoterView& voter : view.voters) voters.append(voters.empty() ? "" : ",").append(Json(voter));
+  for (const WorkView& work : view.works) works.append(works.empty() ? "" : ",").append(Json(work));
+  return std::string("{") + Pair("name", Quote(view.name)) + "," + Pair("role", Quote(view.role)) + "," +
          Pair("standing", Quote(view.standing)) + "," + Pair("fault", Quote(view.fault)) + "," +
          Pair("disk", Quote(Number(view.disk))) + "," + Pair("term", Number(view.term)) + "," +
          Pair("leader", Quote(view.leader)) + "," + Pair("commit", Number(view.commit)) + "," +
@@ -95,10 +95,10 @@
 std::string ExplainText(const View& view, const std::string& name) {
   std::string out;
   for (const VoterView& voter : view.voters) {
-    if (voter.name == name) out += "voter " + Text(voter) + "\n";
+    if (voter.name == name) out.append("voter ") += Text(voter) + "\n";
   }
   for (const WorkView& work : view.works) {
-    if (work.work == name || work.owner == name) out += "work " + Text(work) + "\n";
+    if (work.work == name || work.owner == name) out.append("work ") += Text(work) + "\n";
   }
   std::string told;
   for (const std::string& line : view.history) {
@@ -111,17 +111,17 @@
 std::string ExplainJson(const View& view, const std::string& name) {
   std::string voters, works;
   for (const VoterView& voter : view.voters) {
-    if (voter.name == name) voters += (voters.empty() ? "" : ",") + Json(voter);
+    if (voter.name == name) voters.append(voters.empty() ? "" : ",").append(Json(voter));
   }
   for (const WorkView& work : view.works) {
-    if (work.work == name || work.owner == name) works += (works.empty() ? "" : ",") + Json(work);
+    if (work.work == name || work.owner == name) works.append(works.empty() ? "" : ",").append(Json(work));
   }
   std::vector<std::string> told;
   for (const std::string& line : view.history) {
     if (line.find(name) != std::string::npos) told.push_back(line);
   }
   if (voters.empty() && works.empty() && told.empty()) return "";
-  return "{" + Pair("name", Quote(name)) + "," + Pair("voters", "[" + voters + "]") + "," +
+  return std::string("{") + Pair("name", Quote(name)) + "," + Pair("voters", "[" + voters + "]") + "," +
          Pair("works", "[" + works + "]") + "," + Pair("told", List(told)) + "}\n";
 }
 
--- a/src/lab/commands.cpp
+++ b/src/lab/commands.cpp
@@ -19,6 +19,7 @@
 #include "io/real_files.h"
 #include "lab/judge/compare.h"
 #include "lab/judge/history_file.h"
+#include "lab/council_command.h"
 #include "lab/members_command.h"
 #include "lab/report/report.h"
 #include "lab/report/table.h"
@@ -418,6 +419,7 @@
          "missed.",
          true, code);
   AddMembers(lab, code);
+  AddCouncil(lab, code);
   CLI::App* judge = lab.add_subcommand(
       "judge",
       "Judges a history again: history.jsonl of `run --history`, or one written by hand.\n"
