--- a/src/council/council.cpp
+++ b/src/council/council.cpp
@@ -21,6 +21,7 @@
 constexpr Micros kAnswerWithin = kSecond;  // of one voter, before another is asked
 constexpr Micros kLeadOnEvery = 100 * kMs;
 constexpr Micros kTalkWithin = 20 * kSecond;  // of an operator's call
+constexpr uint64_t kPassedOn = 1;             // in an act's `disk`
 constexpr size_t kMostAskers = 8;
 constexpr size_t kMostActs = 256;      // that wait for the disk or the council
 constexpr size_t kMostWaiting = 2048;  // proposals and reads of others
@@ -280,7 +281,8 @@
       if (core_) core_->Heard(now, *message);
     } else if (auto* ask = std::get_if<consensus::FollowAsk>(&*read.message)) {
       if (core_) {
-        from.follows = true;
+        // Owners send to voters themselves.
+        from.follows = std::ranges::none_of(settings_.voters, [&](const auto& v) { return v.name == from.name; });
         links_->Answer(from.number, consensus::Write(core_->Answer(now, *ask), settings_.site));
       }
     } else if (auto* answer = std::get_if<consensus::FollowAnswer>(&*read.message)) {
@@ -505,6 +507,11 @@
     core_->Propose(now, council::Envelope(command));
   }
   if (joining_.empty()) return;
+  // What a new voter begins with.
+  if (saved_ == 0 && applied_ > 0) {
+    saved_ = applied_;
+    core_->SaveSnapshot(now, applied_, state_.Save());
+  }
   const std::string name = joining_.front();
   for (const CouncilVoter& voter : settings_.voters) {
     if (voter.name != name) continue;
@@ -736,8 +743,12 @@
   acts_.push_back({word, link});
   act_links_[word.work] = link;
   if (act_links_.size() > 64) act_links_.erase(act_links_.begin());
-  // Those that follow here hear of it from here.
-  links_->ToFollowers(Write(word, settings_.site));
+  // Those that follow here hear of it from here; what came that way goes no further.
+  if (word.disk != kPassedOn) {
+    Word on = word;
+    on.disk = kPassedOn;
+    links_->ToFollowers(Write(on, settings_.site));
+  }
   SettleActs();
 }
 
--- a/src/council/word.h
+++ b/src/council/word.h
@@ -27,7 +27,7 @@
     kProposed,   // number, error, index; address: of the leader, with kNotLeader
     kRead,       // number, work: its epoch
     kReadBack,   // number, error, index, work, epoch; address as above
-    kAct,        // work, epoch, number, name: the owner; data: what it does
+    kAct,        // work, epoch, number, name: the owner; data: what it does; disk 1: passed on by a voter
     kActBack,    // work, epoch, number, error, index: the highest that was obeyed; name: whose word it is
     kCall,       // number, data: an operator's words, for the leader
     kCallBack,   // number, error, data; address as above
