--- a/src/council/council.cpp
+++ b/src/council/council.cpp
@@ -282,7 +282,8 @@
     } else if (auto* ask = std::get_if<consensus::FollowAsk>(&*read.message)) {
       if (core_) {
         // Owners send to voters themselves.
-        from.follows = std::ranges::none_of(settings_.voters, [&](const auto& v) { return v.name == from.name; });
+        from.follows =
+            std::ranges::none_of(settings_.voters, [&](const auto& v) { return v.name == from.name; });
         links_->Answer(from.number, consensus::Write(core_->Answer(now, *ask), settings_.site));
       }
     } else if (auto* answer = std::get_if<consensus::FollowAnswer>(&*read.message)) {
@@ -348,7 +349,8 @@
       for (const consensus::Outgoing& out : core_->TakeMessages()) {
         const bool repeats =
             out.message.kind == consensus::Message::Kind::kAppend && out.message.entries.empty();
-        links_->Send(out.address, consensus::Write(out.message, settings_.site), repeats);
+        const std::string& address = out.address.empty() ? AddressOf(out.message.to.name) : out.address;
+        if (!address.empty()) links_->Send(address, consensus::Write(out.message, settings_.site), repeats);
       }
       for (const consensus::Applied& applied : core_->TakeApplied()) Take(applied);
       for (const consensus::ReadAnswer& read : core_->TakeReads()) {
@@ -429,9 +431,11 @@
            ": " + owner::NameOf(effect.error));
     }
     for (const auto& held : held_) {
-      const bool owned = held->holder.owns();
+      const uint64_t had = held->holder.epoch();
       held->holder.Heard(now, effect);
-      if (!owned && held->holder.owns()) log_.Tell<"council_owns">(effect.work, held->holder.epoch());
+      const bool owns = held->holder.owns();
+      if (owns && held->holder.epoch() != had) log_.Tell<"council_owns">(effect.work, held->holder.epoch());
+      if (!owns && had != 0) log_.Tell<"council_lost">(effect.work, had, owner::NameOf(effect.error));
       held->moved.Notify();
     }
   }
@@ -507,11 +511,6 @@
     core_->Propose(now, council::Envelope(command));
   }
   if (joining_.empty()) return;
-  // What a new voter begins with.
-  if (saved_ == 0 && applied_ > 0) {
-    saved_ = applied_;
-    core_->SaveSnapshot(now, applied_, state_.Save());
-  }
   const std::string name = joining_.front();
   for (const CouncilVoter& voter : settings_.voters) {
     if (voter.name != name) continue;
@@ -544,6 +543,15 @@
 
 // ---- Proposals, reads and calls --------------------------------------------------------------------------
 
+// By the settings: a new voter has no log yet that would tell it.
+const std::string& Council::AddressOf(const std::string& name) const {
+  static const std::string kNone;
+  for (const CouncilVoter& voter : settings_.voters) {
+    if (voter.name == name) return voter.address;
+  }
+  return kNone;
+}
+
 std::string Council::LeaderAddress() const {
   auto address = [](const std::vector<consensus::Voter>& voters,
                     const consensus::VoterId& id) -> std::string {
@@ -552,7 +560,10 @@
     }
     return "";
   };
-  if (core_ && core_->leader()) return address(core_->voters(), *core_->leader());
+  if (core_ && core_->leader()) {
+    const std::string there = address(core_->voters(), *core_->leader());
+    return there.empty() ? AddressOf(core_->leader()->name) : there;
+  }
   if (follower_ && !follower_->leader().name.empty())
     return address(follower_->voters(), follower_->leader());
   return "";
--- a/src/council/council.h
+++ b/src/council/council.h
@@ -106,6 +106,7 @@
   void LeadOn();  // what a leader proposes by itself
   bool Leads() const { return core_ && core_->role() == consensus::Role::kLeader; }
   bool VotedIn() const { return core_ && core_->is_voter(); }
+  const std::string& AddressOf(const std::string& name) const;
   std::string LeaderAddress() const;
   std::string Target();
   void SnapshotIfDue();
--- a/src/council/view.cpp
+++ b/src/council/view.cpp
@@ -24,9 +24,9 @@
 }
 
 std::string Json(const VoterView& voter) {
-  return std::string("{") + Pair("name", Quote(voter.name)) + "," + Pair("disk", Quote(Number(voter.disk))) + "," +
-         Pair("address", Quote(voter.address)) + "," + Pair("leads", voter.leads ? "true" : "false") + "," +
-         Pair("heard_ms_ago", std::to_string(voter.heard_ago < 0 ? -1 : voter.heard_ago / kMs)) + "}";
+  return std::string("{") + Pair("name", Quote(voter.name)) + "," + Pair("disk", Quote(Number(voter.disk))) +
+         "," + Pair("address", Quote(voter.address)) + "," + Pair("leads", voter.leads ? "true" : "false") +
+         "," + Pair("heard_ms_ago", std::to_string(voter.heard_ago < 0 ? -1 : voter.heard_ago / kMs)) + "}";
 }
 
 std::string Json(const WorkView& work) {
