--- a/src/consensus/core.cpp
+++ b/src/consensus/core.cpp
@@ -124,6 +124,10 @@
 uint64_t Core::first_index() const { return log_first_; }
 uint64_t Core::last_index() const { return log_first_ + log_.size() - 1; }
 
+const Entry* Core::entry(uint64_t index) const {
+  return index < log_first_ || index > last_index() ? nullptr : &At(index);
+}
+
 uint64_t Core::LastTerm() const { return log_.empty() ? snapshot_->term : log_.back().term; }
 
 // Nothing: the log does not reach back that far, or not that far on. Entry 0 is in every log.
@@ -207,7 +211,7 @@
   for (const Entry& entry : stored.log) sound = sound && entry.index == next++ && entry.term <= term_;
   // A snapshot from the leader is written before the log is cut by it; a power cut between the two leaves a
   // log that ends below it or goes on from another entry. All of that is replaced by the snapshot.
-  bool replaced = next <= snapshot_->index;
+  bool replaced = !stored.log.empty() && next <= snapshot_->index;
   for (const Entry& entry : stored.log) {
     replaced = replaced || (entry.index == snapshot_->index && entry.term != snapshot_->term);
   }
@@ -233,8 +237,15 @@
   const Micros told = log_.empty() ? snapshot_->at : log_.back().at;
   council_ = told > 0 ? told : setup_.wall;
   council_at_ = now_;
-  if (!may_vote_)
+  if (may_vote_ && replaced) {
+    // The old log goes from the disk before anything stands beside it.
+    DiskWrite write;
+    write.from = write.keep_from = log_first_;
+    Keep(std::move(write));
+  }
+  if (!may_vote_) {
     Note(Notice::What::kDiskLost, setup_.self, sound ? "not fit at the start" : "log with gaps");
+  }
   Rest();
   // Alone there is nobody to wait for.
   if (may_vote_ && is_voter() && voters_.size() == 1) election_at_ = now_;
@@ -353,7 +364,10 @@
     }
     return;
   }
-  if (now_ < election_at_) return;
+  if (now_ < election_at_) {
+    if (role_ != Role::kFollower && now_ >= ask_again_at_) AskVotes(true);
+    return;
+  }
   if (!is_voter()) return Rest();
   if (leader_) {
     leader_.reset();
@@ -368,7 +382,8 @@
 
 Micros Core::next_at() const {
   if (!began_ || !may_vote_) return kNever;
-  return role_ == Role::kLeader ? heartbeat_at_ : election_at_;
+  if (role_ == Role::kLeader) return heartbeat_at_;
+  return role_ == Role::kFollower ? election_at_ : std::min(election_at_, ask_again_at_);
 }
 
 // ---------------------------------------------------------------------------------------------- elections
@@ -411,13 +426,26 @@
   role_ = Role::kAsking;
   yes_ = {setup_.self};
   Rest();
+  AskVotes(false);
+}
+
+// Those that have not said yes. Again where there is no answer: an ask is lost as easily as a heartbeat, and
+// whoever still heard the leader a moment ago says yes a moment later.
+void Core::AskVotes(bool again) {
+  ask_again_at_ = now_ + rules_.heartbeat;
+  const bool before = role_ == Role::kAsking;
+  // Its own vote's flush still holds the first asks back.
+  if (again && !before && durable_ < vote_write_) return;
   for (const Voter& voter : voters_) {
-    if (voter.id == setup_.self) continue;
-    Message ask = Make(Message::Kind::kPreVoteAsk, voter.id);
-    ask.term = term_ + 1;
+    if (voter.id == setup_.self || yes_.contains(voter.id)) continue;
+    Message ask = Make(before ? Message::Kind::kPreVoteAsk : Message::Kind::kVoteAsk, voter.id);
+    if (before) ++ask.term;
     ask.index = last_index();
     ask.log_term = LastTerm();
-    Send(voter.address, std::move(ask));
+    ask.handed_over = !before && handed_over_;
+    // Not before its own vote is durable, and with it the log that it asks by: otherwise a power cut takes
+    // the log's tail, and the answers to this ask would make a leader of whoever comes back without it.
+    Send(voter.address, std::move(ask), !before && rules_.votes_wait_for_flush);
   }
 }
 
@@ -432,16 +460,7 @@
   KeepPromise();
   vote_write_ = written_;
   Rest();
-  for (const Voter& voter : voters_) {
-    if (voter.id == setup_.self) continue;
-    Message ask = Make(Message::Kind::kVoteAsk, voter.id);
-    ask.index = last_index();
-    ask.log_term = LastTerm();
-    ask.handed_over = handed_over;
-    // Not before its own vote is durable, and with it the log that it asks by: otherwise a power cut takes
-    // the log's tail, and the answers to this ask would make a leader of whoever comes back without it.
-    Send(voter.address, std::move(ask), rules_.votes_wait_for_flush);
-  }
+  AskVotes(false);
   CountVotes();
 }
 
@@ -846,7 +865,7 @@
   for (const Voter& voter : voters_) {
     const auto found = peers_.find(voter.id);
     if (voter.id == setup_.self ||
-        (found != peers_.end() && now_ - found->second.heard_at < rules_.election_least)) {
+        (found != peers_.end() && now_ - found->second.heard_at < rules_.election_most)) {
       ++heard;
     }
   }
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -31,7 +31,7 @@
 struct Rules {
   Micros heartbeat = 100 * kMs;
   // Without a word from a leader, a voter asks whether it would be elected after a span drawn from these. A
-  // leader that hears no majority for `election_least` steps down.
+  // leader that hears no majority for `election_most` steps down.
   Micros election_least = 400 * kMs;
   Micros election_most = 800 * kMs;
   Micros resend = 200 * kMs;            // a batch or piece without an answer
@@ -96,8 +96,10 @@
     std::optional<VoterId> vote;
   };
   std::optional<Promise> promise;
-  // The snapshot on disk is replaced whole, and entries below `keep_from` may be dropped after that.
+  // The snapshot on disk is replaced whole.
   std::optional<Snapshot> snapshot;
+  // Not 0: entries below this index are dropped, after the snapshot is durable. A crash between the two is
+  // fine: Begin() takes what is left, and writes again what was not done.
   uint64_t keep_from = 0;
   // Not 0: all entries from this index on are replaced by `entries` (which may be empty).
   uint64_t from = 0;
@@ -226,6 +228,8 @@
   uint64_t commit() const { return commit_; }
   uint64_t first_index() const;  // of the log that is kept
   uint64_t last_index() const;
+  // Nothing where the log is not kept so far back, or ends before.
+  const Entry* entry(uint64_t index) const;
   const std::vector<Voter>& voters() const { return voters_; }  // the latest in the log, committed or not
   bool is_voter() const;
   bool may_vote() const { return may_vote_; }
@@ -297,6 +301,7 @@
   void Rest();  // until the next election time-out
   void Follow(uint64_t term, const std::optional<VoterId>& leader, const std::string& why);
   void AskAround();
+  void AskVotes(bool again);
   void Stand(bool handed_over);
   void TakeOffice();
   void CountVotes();
@@ -349,6 +354,7 @@
   Micros leader_heard_at_ = 0;
   bool leader_heard_ = false;  // in this run
   Micros election_at_ = 0;
+  Micros ask_again_at_ = 0;
   std::set<VoterId> yes_;
   uint64_t vote_write_ = 0;  // its own vote counts once this is durable
   bool handed_over_ = false;
