Freeze: changes, incidents and their yes, permits, sights and the local gate

Need: nobody can say stop to all balancers and be sure that it stopped. Change: the coordinator's state held in the log; the yes to an incident waits for the conflicting grants; what a balancer does while the council is away.

--- a/src/freeze/freeze.h
+++ b/src/freeze/freeze.h
@@ -45,8 +45,9 @@
 struct Command {
   enum class Kind : uint8_t {
     // Changes. All name `who` and `request`, and their answers do; `change` is the id that kBegun told.
-    kAsk,       // change_kind, scope, steps, reason; undoes (or 0); by + reason for break-glass
-    kStep,      // change, step: a grant for the next step; by + reason break the glass for the whole change
+    kAsk,   // change_kind, scope, steps, reason; undoes (or 0); by + reason for break-glass
+    kStep,  // change, step, request (grows): a grant for the next step; by + reason break the glass for the
+            // whole change
     kStepDone,  // change, epoch: hands back; the last step's is the change's end
     kStepBack,  // change, epoch: hands back, the step was not begun
     kKeep,      // change: the owner lives
@@ -86,25 +87,25 @@
   Rules rules;
 };
 std::string Write(const Command& command);
-std::optional<Command> ReadCommand(std::string_view bytes);
+std::optional<Command> ReadCommand(std::string_view bytes);  // empty: damaged, of another version, too long
 
 enum class End : uint8_t { kOpen, kDone, kUndone, kAbandoned, kRefused };
 const char* NameOf(End end);  // open, done, undone, abandoned, refused
 
 struct Effect {
   enum class What : uint8_t {
-    kBegun,        // change, request: a change stands; `epoch` is the lease's `renewed`, lease = change_lease
-    kGranted,      // change, step, epoch, lease, position: the step may begin
-    kKept,         // change, renewed, lease = change_lease
-    kTaken,        // change: its new owner is `who`; by
-    kHold,         // change, incident, how: goes to the change's owner
-    kGrantOver,    // change, step, epoch, error: handed back (kNone) or run out (kLeaseOver)
-    kEnded,        // change, step, end: its one end
-    kRefused,      // request, error; incident / change and scope that stand against it; retry (span)
-    kOpened,       // incident, pending: stands; not yet the yes
-    kIncidentYes,  // incident, waited (council time): no conflicting step begins from here
-    kIncidentOver,  // incident, by, waited: closed, or ended; where the yes never came, `error` is
-                    // kUnknownIncident
+    kBegun,      // change, request, renewed, lease = change_lease
+    kGranted,    // change, step, epoch, lease, position: may begin. A kKept follows, as after all its words
+    kKept,       // change, renewed, lease = change_lease
+    kTaken,      // change, step: its new owner is `who`, who says kKeep before anything else
+    kHold,       // change, incident, how; or error kHandedOver, to: it is to let go. To the change's owner
+    kGrantOver,  // change, step, epoch, error: handed back (kNone) or run out (kLeaseOver)
+    kEnded,      // change, step, end: its one end
+    kRefused,    // request, error; what stands against it: incident, change, kind, scope; retry (span); of a
+                 // kStep or kStepDone, `step` is the next one
+    kOpened,     // incident, pending: stands; not yet the yes
+    kIncidentYes,   // incident, waited (council time): no conflicting step begins from here
+    kIncidentOver,  // incident, by, waited (it stood); `pending` above 0: the yes never came
     kGlass,         // change, by, reason: glass was broken
     kNoted,         // kWasDone stands on record; number
   };
@@ -123,11 +124,13 @@
   Micros waited = 0;
   Micros retry = 0;
   Error error = Error::kNone;
+  bool sight = false;
   End end = End::kOpen;
   UnderWay how = UnderWay::kFinish;
   ChangeKind change_kind = ChangeKind::kReload;
   IncidentKind incident_kind = IncidentKind::kOperator;
   Scope scope;
+  Who to;
   std::string by;
   std::string reason;
 };
@@ -139,6 +142,7 @@
   uint64_t position = 0;  // index of its entry: the lease's `renewed`
   uint32_t step = 0;
   Micros lease = 0;
+  uint64_t request = 0;
 };
 
 struct Change {
@@ -154,9 +158,12 @@
   uint32_t next = 0;  // steps done; an undo counts down
   bool undoing = false;
   uint64_t undoes = 0;
-  bool glass = false;
+  std::set<uint64_t> glass;  // incidents that it goes past, by name and reason
+  bool doubt = false;        // its last grant ran out: that step may be under way, or done
+  uint64_t request = 0;      // of its kAsk
   std::optional<Grant> grant;
-  uint64_t last_epoch = 0;  // of the last grant, also when it ran out: the step may be under way
+  uint64_t last_epoch = 0;    // of the last grant, also when it ran out: the step may be under way
+  uint64_t last_request = 0;  // of the kStep that it answered
   std::optional<Who> heir;
 };
 
@@ -186,7 +193,9 @@
   Scope scope;
   End end = End::kDone;
   uint32_t step = 0;
-  std::string who;
+  Who who;
+  uint64_t request = 0;
+  std::string by;
   std::string reason;
   Error error = Error::kNone;
   Micros began = 0;
@@ -234,29 +243,31 @@
   const Incident* ForbiddenBy(const Change& change) const;
   // All leases that stand, for owner::Lapse: keys "change 7" and "grant 9", epochs 0 and the grant's.
   std::vector<owner::Lease> Leases() const;
-  // The earliest incident whose own end time has come at council time `at`, as the kEnds to propose.
+  // Those whose own end time has come at council time `at`, as the kEnds to propose.
   std::vector<Command> EndsDue(Micros at) const;
 
  private:
   const Change* ConflictOf(const Change& change) const;
-  bool OverLimit(const Change& change) const;
+  const Change* OverLimit(const Change& change) const;
   bool Forbids(const Incident& incident, const Change& change) const;
   Effect Answer(const Command& command) const;
-  void Refuse(const Command& command, Error error, Effects& effects) const;
-  void RefuseFrozen(const Command& command, const Incident& incident, Micros at, Effects& effects) const;
-  void ReturnGrant(Micros at, Change& change, Error why, Effects& effects);
-  void EndChange(Micros at, uint64_t id, End end, Error why, Effects& effects);
-  void Resolve(Micros at, uint64_t epoch, Effects& effects);
-  void EndIncident(Micros at, uint64_t id, const std::string& by, Effects& effects);
-  void BreakGlass(Micros at, Change& change, const Command& command, Effects& effects);
+  Effect& Refuse(const Command& command, Error error, Effects& effects) const;
+  void ReturnGrant(Change& change, Error why, Effects& effects);
+  void EndChange(uint64_t id, End end, Error why, Effects& effects);
+  void Resolve(uint64_t epoch, Effects& effects);
+  void Yes(Incident& incident, uint64_t request, Effects& effects) const;
+  void EndIncident(uint64_t id, const Command& command, Effects& effects);
+  bool Passes(Change& change, const Command& command, Effects& effects);
+  void Renew(uint64_t index, Change& change, const Command& command, Effects& effects);
+  void Transfer(uint64_t index, Change& change, Effects& effects);
   void Keep(Past past);
-  uint64_t NewEpoch(uint64_t index);
-  void Ask(uint64_t index, Micros at, const Command& command, Effects& effects);
-  void Step(uint64_t index, Micros at, const Command& command, Effects& effects);
-  void StepDone(uint64_t index, Micros at, const Command& command, Effects& effects);
-  void OfChange(uint64_t index, Micros at, const Command& command, Effects& effects);
-  void RunOut(uint64_t index, Micros at, const Command& command, Effects& effects);
-  void Open(uint64_t index, Micros at, const Command& command, Effects& effects);
+  uint64_t NewEpoch(uint64_t index, const Change& change);
+  void Ask(uint64_t index, const Command& command, Effects& effects);
+  void Step(uint64_t index, const Command& command, Effects& effects);
+  void StepDone(uint64_t index, const Command& command, Effects& effects);
+  void OfChange(uint64_t index, const Command& command, Effects& effects);
+  void RunOut(uint64_t index, const Command& command, Effects& effects);
+  void Open(uint64_t index, const Command& command, Effects& effects);
 
   Faults faults_;
   Rules rules_;
@@ -269,7 +280,8 @@
   std::deque<Past> history_;
   std::deque<Glass> glass_;
   uint64_t glass_forgotten_ = 0;
-  std::map<std::string, uint64_t> done_numbers_;  // of kWasDone, by name and life; bounded
+  std::map<std::string, std::pair<uint64_t, uint64_t>>
+      was_done_;  // name -> life and number of the last kWasDone
 };
 
 }  // namespace burlfall::freeze
--- a/src/freeze/local_gate.h
+++ b/src/freeze/local_gate.h
@@ -31,7 +31,8 @@
   Answer Ask(ChangeKind kind, const Scope& scope, const std::string& by, const std::string& reason,
              const std::vector<std::string>& missing);
 
-  // What the council has not confirmed yet, oldest first: to be proposed again and again until it has.
+  // The oldest that the council has not confirmed: to be proposed again and again until it has, then the
+  // next. One at a time: two on their way could change places, and the later would hide the earlier.
   std::vector<Command> Untold() const;
   void Applied(const Effect& effect);  // kNoted
 
--- a/src/freeze/permit.h
+++ b/src/freeze/permit.h
@@ -15,15 +15,18 @@
 class Permit {
  public:
   // `asked`: the own clock before the kAsk, kStep or kKeep left that this effect (kBegun, kGranted, kKept)
-  // answers; of several tries of one request, the first. An effect of another change is passed over.
+  // answers; of several tries of one request, the first. Only effects whose `who` is this process. An effect
+  // of another change is passed over, but for kBegun and kTaken, which begin anew.
   void Heard(Micros asked, const Effect& effect);
-  // kNone: the granted step may begin, under epoch(). Asked right before; after Begun() the same grant is
-  // used.
+  // kNone: the granted step may begin, under epoch(). Asked right before, with nothing between that can wait.
   Error MayBegin(Micros now) const;
-  void Begun();
+  // The step's first act is done; `now` is read after it. A grant begins one step. kLeaseOver: the process
+  // stood still between its look and the act, and the step began too late: it is to be undone at once, and
+  // told.
+  Error Begun(Micros now);
   // kNone: a step that has begun may go on. kLeaseOver: stop where it is: the change is no longer one's own.
   Error MayGoOn(Micros now) const;
-  // The step is over, or the grant was handed back.
+  // The step is over, or the grant is about to be handed back.
   void Ended();
 
   uint64_t change() const { return change_; }
@@ -35,6 +38,7 @@
  private:
   uint64_t change_ = 0;
   uint64_t epoch_ = 0;  // 0: no grant
+  uint64_t last_epoch_ = 0;
   uint32_t step_ = 0;
   bool begun_ = false;
   bool over_ = false;
--- a/src/freeze/rules.h
+++ b/src/freeze/rules.h
@@ -57,6 +57,10 @@
   bool operator==(const Row&) const = default;
 };
 constexpr size_t kMostRows = 64;
+// What the bounds in the settings may be at most.
+constexpr uint64_t kMostChanges = 1024;
+constexpr uint64_t kMostIncidents = 256;
+constexpr uint64_t kMostHistory = 4096;
 
 // The defaults of the table: a change of voters stops everywhere while a zone is down; what brings work back
 // (undrain, node_back) is forbidden only where scopes meet, as all else is.
@@ -111,6 +115,9 @@
   bool operator==(const Rules&) const = default;
 };
 
+// Why they can't be used, for whoever reads them from a file; empty: they can.
+const char* WhyNot(const Rules& rules);
+
 }  // namespace burlfall::freeze
 
 #endif  // BURLFALL_FREEZE_RULES_H_
--- a/src/freeze/sights.h
+++ b/src/freeze/sights.h
@@ -33,6 +33,7 @@
     Micros above_since = -1;  // -1: not above
     Micros below_since = -1;
     uint64_t incident = 0;  // that stands for it
+    Micros confirmed = -1;  // in the log
     Micros proposed = -1;   // not again at once
   };
   const Rules rules_;
--- a/src/owner/errors.cpp
+++ b/src/owner/errors.cpp
@@ -1,6 +1,7 @@
 #include "owner/errors.h"
 
 #include <array>
+#include <cstddef>
 
 namespace burlfall::owner {
 namespace {
