--- a/src/freeze/freeze.cpp
+++ b/src/freeze/freeze.cpp
@@ -1,6 +1,7 @@
 #include "freeze/freeze.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace burlfall::freeze {
 namespace {
@@ -8,6 +9,9 @@
 using owner::kLongestName;
 using owner::kLongestReason;
 
+// Keys of leases: whose, and the change's id.
+const std::string kOfChange = "change ";
+const std::string kOfGrant = "grant ";
 constexpr uint64_t kHighestFloor = uint64_t{1} << 62;  // leaves room above
 
 bool IsName(const std::string& name) { return !name.empty() && name.size() <= kLongestName; }
@@ -720,10 +724,45 @@
   return effects;
 }
 
+void Count(owner::Lapse& lapse, Micros now, const Effects& effects) {
+  for (const Effect& effect : effects) {
+    const std::string id = std::to_string(effect.change);
+    switch (effect.what) {
+      case Effect::What::kBegun:
+      case Effect::What::kKept:
+      case Effect::What::kTaken:
+        lapse.Began(now, {kOfChange + id, 0, effect.renewed, effect.lease});
+        break;
+      case Effect::What::kGranted:
+        lapse.Began(now, {kOfGrant + id, effect.epoch, effect.position, effect.lease});
+        break;
+      case Effect::What::kGrantOver:
+        lapse.Ended(kOfGrant + id);
+        break;
+      case Effect::What::kEnded:
+        // Told again of one that ended long ago, it ends nothing twice.
+        lapse.Ended(kOfChange + id);
+        lapse.Ended(kOfGrant + id);
+        break;
+      default:
+        break;
+    }
+  }
+}
+
+Command RunOutOf(const owner::Lease& lease) {
+  Command command;
+  command.kind = Command::Kind::kRunOut;
+  command.change = std::strtoull(lease.key.c_str() + lease.key.find(' '), nullptr, 10);
+  command.epoch = lease.epoch;
+  command.renewed = lease.renewed;
+  return command;
+}
+
 std::vector<owner::Lease> State::Leases() const {
   std::vector<owner::Lease> leases;
   for (const auto& [id, change] : changes_) {
-    leases.push_back({"change " + std::to_string(id), 0, change.renewed, change.lease});
+    leases.push_back({kOfChange + std::to_string(id), 0, change.renewed, change.lease});
     if (change.grant) {
       leases.push_back(
           {"grant " + std::to_string(id), change.grant->epoch, change.grant->position, change.grant->lease});
--- a/src/freeze/freeze.h
+++ b/src/freeze/freeze.h
@@ -284,6 +284,11 @@
       was_done_;  // name -> life and number of the last kWasDone
 };
 
+// For whoever leads: what was applied, into its count of leases; and the command that a due lease is proposed
+// by.
+void Count(owner::Lapse& lapse, Micros now, const Effects& effects);
+Command RunOutOf(const owner::Lease& lease);
+
 }  // namespace burlfall::freeze
 
 #endif  // BURLFALL_FREEZE_FREEZE_H_
--- a/src/owner/owner.cpp
+++ b/src/owner/owner.cpp
@@ -334,6 +334,25 @@
   return leases;
 }
 
+void Count(Lapse& lapse, Micros now, const Effects& effects) {
+  for (const Effect& effect : effects) {
+    if (effect.what == Effect::What::kGranted || effect.what == Effect::What::kRenewed) {
+      lapse.Began(now, {effect.work, effect.epoch, effect.renewed, effect.lease});
+    } else if (effect.what == Effect::What::kOver) {
+      lapse.Ended(effect.work);
+    }
+  }
+}
+
+Command RunOutOf(const Lease& lease) {
+  Command command;
+  command.kind = Command::Kind::kRunOut;
+  command.work = lease.key;
+  command.epoch = lease.epoch;
+  command.renewed = lease.renewed;
+  return command;
+}
+
 std::string State::Save() const {
   Writer to;
   Put(to, rules_);
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -148,6 +148,11 @@
   std::map<std::string, Work> works_;
 };
 
+// For whoever leads: what was applied, into its count of leases; and the command that a due lease is proposed
+// by.
+void Count(Lapse& lapse, Micros now, const Effects& effects);
+Command RunOutOf(const Lease& lease);
+
 }  // namespace burlfall::owner
 
 #endif  // BURLFALL_OWNER_OWNER_H_
