--- a/src/lab/council_judge/play_freeze.cpp
+++ b/src/lab/council_judge/play_freeze.cpp
@@ -49,6 +49,8 @@
   std::string zone;
   DriftingClock clock;
   Micros still_until = 0;
+  Micros slow_until = 0;  // what comes to it waits on the way until then; what it says goes out
+  Micros mute_until = 0;  // the other way round
   Phase phase = Phase::kIdle;
   freeze::Permit permit;
   std::optional<freeze::LocalGate> gate;
@@ -82,7 +84,7 @@
         state_(FaultsOf(fault)),
         lapse_(fault == FreezeFault::kNoDrift ? 0 : options.drift) {
     rules_.step_lease = 1 * kSecond;
-    rules_.change_lease = 6 * kSecond;
+    rules_.change_lease = 3 * kSecond;
     rules_.most_balancers_of_zone = 2;
     played_.facts.rules = rules_;
     played_.facts.bound = options.bound;
@@ -91,7 +93,7 @@
   Played Run() {
     for (size_t i = 0; i < kHands; ++i) {
       Hand hand;
-      hand.who = {"b" + std::to_string(i), 1};
+      hand.who = {std::string("b").append(std::to_string(i)), 1};
       hand.zone = kZones[i % 2];
       hand.clock = DriftingClock::Drawn(time_, options_.apart);
       hands_.push_back(std::move(hand));
@@ -162,7 +164,8 @@
       case 2:
       case 4: {
         const uint64_t node = time_.Below(6);
-        return Scope::Node("n" + std::to_string(node), kZones[node % 2], kGroups[node / 3]);
+        return Scope::Node(std::string("n").append(std::to_string(node)), kZones[node % 2],
+                           kGroups[node / 3]);
       }
       default: {
         const size_t i = hand != nullptr ? static_cast<size_t>(hand - hands_.data()) : time_.Below(kHands);
@@ -195,7 +198,8 @@
     const Micros now = leader_clock_.Read(time_.now());
     for (const owner::Lease& lease : lapse_.Due(now)) {
       // What is in the log already may overtake it.
-      time_.After(time_.Between(0, 60 * kMs), [this, lease] { Apply(freeze::RunOutOf(lease)); });
+      time_.After(time_.Between(0, time_.Chance(lease.epoch == 0 ? 0.7 : 0.2) ? 1500 * kMs : kMs),
+                  [this, lease] { Apply(freeze::RunOutOf(lease)); });
     }
     for (const Command& command : state_.EndsDue(now)) Apply(command);
     if (!quiet_ && time_.Chance(0.003) && !state_.changes().empty()) {
@@ -216,6 +220,7 @@
     index_ += 1 + (time_.Chance(0.1) ? time_.Below(5) : 0);
     // As it goes over the wire and into the log.
     const std::optional<Command> read = freeze::ReadCommand(freeze::Write(command));
+    if (!read) return;  // refused before it comes so far
     const freeze::Effects effects = state_.Apply(index_, leader_clock_.Read(time_.now()), *read);
     if (fault_ == FreezeFault::kNone && time_.Chance(0.01)) state_ = *freeze::State::Load(state_.Save());
     freeze::Count(lapse_, leader_clock_.Read(time_.now()), effects);
@@ -311,19 +316,28 @@
         time_.At(hand.still_until, [this, effect] { Deliver(effect); });
         return;
       }
+      if (time_.now() < hand.slow_until) {
+        time_.At(hand.slow_until, [this, effect] { Deliver(effect); });
+        return;
+      }
       hand.gate->Applied(effect);
       if (hand.who.life == effect.who.life) Hear(i, effect);
     }
   }
 
   // Hands.
+  void Out(const Hand& hand, const Command& command) {
+    time_.At(std::max(time_.now(), quiet_ ? 0 : hand.mute_until),
+             [this, command] { Send([this, command] { Apply(command); }); });
+  }
+
   void Say(size_t i, Command command) {
     Hand& hand = hands_[i];
     command.who = hand.who;
     command.request = ++hand.requests;
     hand.asked[command.request] = hand.clock.Read(time_.now());
     while (hand.asked.size() > 64) hand.asked.erase(hand.asked.begin());
-    Send([this, command] { Apply(command); });
+    Out(hand, command);
     if (command.kind == Command::Kind::kKeep) return;
     hand.said = std::move(command);
     hand.said_at = time_.now();
@@ -443,7 +457,11 @@
       Answered(hand, effect.error);
       return Drop(hand);
     }
-    if (hand.phase == Phase::kIdle || hand.phase == Phase::kStepping || hand.phase == Phase::kGranted) return;
+    // Of a question that is over.
+    if (hand.phase == Phase::kIdle || hand.phase == Phase::kTaking || hand.phase == Phase::kStepping ||
+        hand.phase == Phase::kGranted) {
+      return;
+    }
     if (effect.error == Error::kFrozen && !quiet_) {
       const uint64_t draw = time_.Below(10);
       if (draw < 1) {
@@ -471,8 +489,14 @@
 
   void Stand(Hand& hand) {
     ++played_.pauses;
-    constexpr Micros kSpans[] = {200 * kMs, 2 * kSecond, 10 * kSecond};
-    hand.still_until = time_.now() + kSpans[time_.Below(3)];
+    // Whoever stands still waits for no answer.
+    if (hand.phase == Hand::Phase::kAsking) {
+      Seen& seen = See(Seen::What::kWentAway);
+      seen.place = hand.who.name;
+      seen.number = hand.said.request;
+    }
+    constexpr Micros kSpans[] = {200 * kMs, 2 * kSecond, 3500 * kMs, 30 * kSecond};
+    hand.still_until = time_.now() + kSpans[time_.Below(4)];
   }
 
   void Die(size_t i) {
@@ -571,6 +595,8 @@
     if (time_.now() < hand.still_until) return;
     if (!quiet_ && time_.Chance(0.001)) return Die(i);
     if (!quiet_ && time_.Chance(0.003)) return Stand(hand);
+    if (!quiet_ && time_.Chance(0.004)) hand.slow_until = time_.now() + time_.Between(500 * kMs, 4 * kSecond);
+    if (!quiet_ && time_.Chance(0.002)) hand.mute_until = time_.now() + time_.Between(kSecond, 8 * kSecond);
     if (fault_ != FreezeFault::kEmergencyNotTold && time_.Chance(0.1)) {
       for (const Command& command : hand.gate->Untold()) {
         Send([this, command] { Apply(command); });
@@ -606,7 +632,7 @@
         // The same question again: of its tries the first counts.
         if (time_.now() - hand.said_at < kAgain) return;
         hand.said_at = time_.now();
-        Send([this, command = hand.said] { Apply(command); });
+        Out(hand, hand.said);
         return;
       case Phase::kTaking:
         if (due) Drop(hand);
@@ -654,8 +680,17 @@
       opener.said.kind = Command::Kind::kOpen;
       opener.said.incident_kind = static_cast<IncidentKind>(time_.Below(freeze::kIncidentKinds));
       opener.said.scope = DrawScope(nullptr);
-      opener.said.by = "o" + std::to_string(i);
+      opener.said.by = std::string("o").append(std::to_string(i));
       opener.said.reason = "queries are lost";
+      // Often about what is going on right now.
+      if (time_.Chance(0.5) && !state_.changes().empty()) {
+        auto change = state_.changes().begin();
+        std::advance(change, time_.Below(state_.changes().size()));
+        for (auto at = state_.changes().begin(); at != state_.changes().end(); ++at) {
+          if (at->second.grant && time_.Chance(0.7)) change = at;
+        }
+        opener.said.scope = change->second.scope;
+      }
       opener.said.lasts = time_.Chance(0.3) ? time_.Between(kSecond, 6 * kSecond) : 0;
       opener.said_at = 0;
       opener.close_at = time_.now() + time_.Between(500 * kMs, 8 * kSecond);
--- a/src/lab/council_judge/play_owner.cpp
+++ b/src/lab/council_judge/play_owner.cpp
@@ -52,13 +52,16 @@
 
   Played Run() {
     for (size_t i = 0; i < kMembers; ++i) {
-      members_.push_back({{"m" + std::to_string(i), 1}, DriftingClock::Drawn(time_, options_.apart), {}, 0});
+      members_.push_back({{std::string("m").append(std::to_string(i)), 1},
+                          DriftingClock::Drawn(time_, options_.apart),
+                          {},
+                          0});
       Live(i);
       time_.After(time_.Between(0, kTick), [this, i] { TickMember(i); });
     }
     for (size_t i = 0; i < kExecutors; ++i) {
       Place place;
-      place.name = "x" + std::to_string(i);
+      place.name = std::string("x").append(std::to_string(i));
       place.disk = i != 0;
       places_.push_back(std::move(place));
       Restart(i);
@@ -86,7 +89,7 @@
   }
 
   Micros Way() {
-    return time_.Chance(0.03) ? time_.Between(0, 4 * kSecond) : time_.Between(1 * kMs, 40 * kMs);
+    return time_.Chance(0.05) ? time_.Between(0, 4 * kSecond) : time_.Between(1 * kMs, 40 * kMs);
   }
   // On its way: lost, late, or twice.
   void Send(const std::function<void()>& what) {
@@ -255,11 +258,15 @@
   }
 
   void Crash(size_t i) {
+    time_.After(time_.Between(1 * kSecond, 8 * kSecond), [this, i] { Crash(i); });
+    Die(i);
+  }
+
+  void Die(size_t i) {
     Place& place = places_[i];
     ++played_.deaths;
-    time_.After(time_.Between(1 * kSecond, 8 * kSecond), [this, i] { Crash(i); });
-    if (time_.Chance(0.1)) place.file.reset();
-    if (place.file && !place.file->empty() && time_.Chance(0.1)) {
+    if (time_.Chance(0.05)) place.file.reset();
+    if (place.file && !place.file->empty() && time_.Chance(0.05)) {
       (*place.file)[time_.Below(place.file->size())] ^= 1;
     }
     Restart(i);
@@ -315,9 +322,15 @@
       case owner::Error::kDiskLost:
         if (const auto write = place.executor->Pending()) {
           // A crash before that time keeps the old file.
-          time_.After(time_.Between(kMs, 60 * kMs), [this, i, life, write = *write] {
+          const Micros span = time_.Between(kMs, 60 * kMs);
+          if (time_.Chance(0.1)) {
+            time_.After(span / 2, [this, i, life] {
+              if (places_[i].life == life) Die(i);
+            });
+          }
+          time_.After(span, [this, i, life, write = *write] {
             if (places_[i].life != life) return;
-            const bool ok = !time_.Chance(0.05);
+            const bool ok = !time_.Chance(0.15);
             if (ok) places_[i].file = write.bytes;
             places_[i].executor->Written(write.number, ok || fault_ == OwnerFault::kFailedIsWritten);
           });
--- a/src/lab/council_judge/timeline.h
+++ b/src/lab/council_judge/timeline.h
@@ -61,7 +61,9 @@
   }
   // Two of them run apart by a share of `drift` at most.
   static DriftingClock Drawn(Timeline& time, double drift) {
-    return {time.Between(0, 1000 * kSecond), 1 + drift * static_cast<double>(time.Below(1001)) / 1000};
+    // Often at the very ends.
+    const uint64_t share = time.Chance(0.5) ? 1000 * time.Below(2) : time.Below(1001);
+    return {time.Between(0, 1000 * kSecond), 1 + drift * static_cast<double>(share) / 1000};
   }
 };
 
--- a/src/owner/executor.cpp
+++ b/src/owner/executor.cpp
@@ -15,33 +15,29 @@
 
 Executor::Executor(ExecutorRules rules, std::optional<std::string_view> kept) : rules_(rules) {
   if (!rules_.disk || !kept) return;
-  Reader from(*kept, kWhat, 2 + 2 * kMostInFile);
-  const bool whole = from.Flag();
+  Reader from(*kept, kWhat, 1 + 2 * kMostInFile);
   const size_t works = from.Count(kMostInFile);
   for (size_t i = 0; i < works && from.ok(); ++i) {
     const std::string work = from.Text(kLongestName);
     highest_[work] = from.Number();
-    told_.insert(work);
   }
   if (!from.Done()) {
     damaged_ = true;
     highest_.clear();
-    told_.clear();
     return;
   }
-  knows_ = whole;
   written_ = highest_;
 }
 
 Executor::Verdict Executor::Ask(const std::string& work, uint64_t epoch) {
   if (work.empty() || work.size() > kLongestName || epoch == 0) return {Error::kMalformed, 0};
-  if (!knows_ && !told_.contains(work)) return {Error::kNotTold, 0};
   const auto at = highest_.find(work);
-  const uint64_t highest = at == highest_.end() ? 0 : at->second;
-  if (epoch < highest) return {Error::kFenced, highest};
-  if (at == highest_.end() && highest_.size() >= rules_.most_works) return {Error::kTooMany, 0};
+  if (at == highest_.end()) {
+    return {highest_.size() >= rules_.most_works ? Error::kTooMany : Error::kNotTold, 0};
+  }
+  if (epoch < at->second) return {Error::kFenced, at->second};
   // From here on lower ones are refused, also while this one is still on its way to the disk.
-  highest_[work] = epoch;
+  at->second = epoch;
   if (rules_.disk) {
     const auto written = written_.find(work);
     if (written == written_.end() || written->second < epoch) {
@@ -53,18 +49,15 @@
 
 void Executor::Told(const std::string& work, uint64_t epoch) {
   if (work.empty() || work.size() > kLongestName) return;
-  const bool known = highest_.contains(work);
-  if (!known && highest_.size() >= rules_.most_works) return;
-  told_.insert(work);
+  if (!highest_.contains(work) && highest_.size() >= rules_.most_works) return;
   uint64_t& highest = highest_[work];
   highest = std::max(highest, epoch);
 }
 
 std::optional<Executor::Write> Executor::Pending() {
   if (!rules_.disk || under_way_ || highest_ == written_) return std::nullopt;
-  // A file whose writer did not know all works says so, or a restart would take those as never obeyed.
   Writer to;
-  to.Flag(knows_).Number(highest_.size());
+  to.Number(highest_.size());
   for (const auto& [work, epoch] : highest_) to.Text(work).Number(epoch);
   writing_ = highest_;
   under_way_ = true;
--- a/src/owner/executor.h
+++ b/src/owner/executor.h
@@ -14,7 +14,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 
@@ -63,10 +62,10 @@
 
  private:
   const ExecutorRules rules_;
-  bool knows_ = false;  // the disk has told it: a work that it doesn't name was never obeyed
   bool damaged_ = false;
   bool failed_ = false;
-  std::set<std::string> told_;
+  // By the council or by the disk. A work that the disk doesn't name may have been obeyed before the file was
+  // lost, so the council is asked for it.
   std::map<std::string, uint64_t> highest_;  // refused below
   std::map<std::string, uint64_t> written_;  // obeyed up to, where there is a disk
   std::map<std::string, uint64_t> writing_;
