--- a/src/council/council.cpp
+++ b/src/council/council.cpp
@@ -26,6 +26,10 @@
 constexpr size_t kMostActs = 256;      // that wait for the disk or the council
 constexpr size_t kMostWaiting = 2048;  // proposals and reads of others
 constexpr size_t kMostJoining = 16;
+constexpr size_t kMostRecent = 512;
+constexpr size_t kMostFinishing = 256;
+constexpr Micros kFinishEvery = 300 * kMs;
+constexpr Micros kYesWithin = 15 * kSecond;
 constexpr size_t kHistoryLines = 400;
 constexpr size_t kPiece = 32 * 1024;  // of an answer on the Unix socket
 
@@ -95,6 +99,8 @@
       listen_(Needed(settings.listen)),
       self_{setup_.name, static_cast<uint64_t>(std::max<Micros>(machine.WallClock(), 1))},
       lapse_(settings.drift),
+      freeze_lapse_(settings.drift),
+      gate_({}, self_),
       stir_(machine.scheduler()),
       learn_(machine.scheduler()),
       begun_(machine.scheduler()),
@@ -131,6 +137,10 @@
   executor_.emplace(owner::ExecutorRules{.disk = true},
                     kept ? std::optional<std::string_view>(*kept) : std::nullopt);
   if (executor_->damaged()) log_.Tell<"council_disk">("damaged", setup_.stem + ".epochs");
+  if (const std::optional<std::string> told_not = machine_.files().Read(setup_.stem + ".emergencies");
+      told_not && !gate_.Take(*told_not)) {
+    log_.Tell<"council_disk">("damaged", setup_.stem + ".emergencies");
+  }
   hearing_epochs_ = HearEpochDisk();
   hearing_epochs_.Start();
   const bool votes =
@@ -200,12 +210,15 @@
     const bool outside = !VotedIn() || !core_->may_vote();
     if (outside && now >= follower_->next_at()) follower_->Tick(now);
     if (Leads()) LeadOn();
+    FinishChanges();
     Settle();
     std::erase_if(askers_, [](const auto& asker) { return asker->over && asker->task.Done(); });
     Micros next = kNever;
     if (core_) next = std::min(next, core_->next_at());
     if (outside) next = std::min(next, follower_->next_at());
-    if (Leads()) next = std::min({next, lapse_.next_at(), led_on_at_ + kLeadOnEvery});
+    if (Leads())
+      next = std::min({next, lapse_.next_at(), freeze_lapse_.next_at(), led_on_at_ + kLeadOnEvery});
+    if (!finishing_.empty() || gate_.kept() > 0) next = std::min(next, finish_at_);
     co_await stir_.Wait(std::max(next, now + kMs));
   }
 }
@@ -390,6 +403,7 @@
                      applied.snapshot->voters.empty() ? "" : applied.snapshot->voters[0].id.name);
     state_ = std::move(*state);
     applied_ = applied.snapshot->index;
+    for (Event* waiter : on_applied_) waiter->Notify();
     return;
   }
   const consensus::Entry& entry = applied.entry;
@@ -399,7 +413,11 @@
     const council::Came came = state_.Apply(entry.index, entry.at, entry.data);
     if (!came.known) Dropped("an entry of another build", "the log");
     Carry(came.owner);
+    CarryFreeze(came.freeze);
+    recent_[entry.index] = came;
+    if (recent_.size() > kMostRecent) recent_.erase(recent_.begin());
   }
+  for (Event* waiter : on_applied_) waiter->Notify();
   while (!waiting_.empty() && waiting_.begin()->first <= entry.index) {
     const auto [index, all] = std::move(*waiting_.begin());
     waiting_.erase(waiting_.begin());
@@ -453,6 +471,9 @@
         if (work.owner) standing.push_back({name, work.epoch, work.renewed, work.lease});
       }
       lapse_.TakeOffice(machine_.Now(), standing);
+      freeze_lapse_.TakeOffice(machine_.Now(), {});
+      freeze_leases_.clear();
+      SyncLapse();
       led_on_at_ = 0;
       log_.Tell<"council_leads">(notice.term);
       ++counters_.council_led;
@@ -460,6 +481,7 @@
     }
     case What::kSteppedDown:
       lapse_.TakeOffice(machine_.Now(), {});
+      freeze_lapse_.TakeOffice(machine_.Now(), {});
       joining_.clear();
       log_.Tell<"council_stepped_down">(notice.term, notice.text);
       break;
@@ -501,7 +523,17 @@
     command.renewed = over.renewed;
     core_->Propose(now, council::Envelope(command));
   }
+  for (const owner::Lease& over : freeze_lapse_.Due(now)) {
+    freeze::Command command;
+    command.kind = freeze::Command::Kind::kRunOut;
+    command.change = std::stoull(over.key.substr(over.key.find(' ') + 1));
+    command.epoch = over.epoch;
+    command.renewed = over.renewed;
+    core_->Propose(now, council::Envelope(command));
+  }
   if (now < led_on_at_ + kLeadOnEvery) return;
+  for (const freeze::Command& end : state_.freeze().EndsDue(core_->council_now(now)))
+    core_->Propose(now, council::Envelope(end));
   led_on_at_ = now;
   if (owner::Rules rules = state_.owner().rules(); rules.lease != LeaseOf(settings_)) {
     rules.lease = LeaseOf(settings_);
@@ -705,6 +737,247 @@
   stir_.Notify();
 }
 
+// ---- Changes and incidents -------------------------------------------------------------------------------
+
+// What came of the entry, once it is carried out here; nothing where that takes too long, or where only what
+// came of many is known.
+Task<std::optional<council::Came>> Council::CameOf(uint64_t index, Micros until) {
+  Event applied(machine_.scheduler());
+  struct Listed {
+    std::list<Event*>& all;
+    std::list<Event*>::iterator place;
+    ~Listed() { all.erase(place); }
+  } listed{on_applied_, on_applied_.insert(on_applied_.end(), &applied)};
+  while (applied_ < index && machine_.Now() < until) {
+    if (!VotedIn()) follower_->AskNow(machine_.Now());
+    Settle();
+    stir_.Notify();
+    if (applied_ < index) co_await applied.Wait(std::min(until, machine_.Now() + kTurnPause));
+  }
+  const auto it = recent_.find(index);
+  if (it == recent_.end()) co_return std::nullopt;
+  co_return it->second;
+}
+
+// The answer to a command that names its request: the first effect of it.
+Task<std::optional<freeze::Effect>> Council::Agree(freeze::Command command, Micros until, Error& error) {
+  command.who = self_;
+  command.request = ++requests_;
+  Word word{.kind = Word::Kind::kPropose, .data = council::Envelope(command)};
+  const Word back = co_await AskLeader(std::move(word), until);
+  error = back.error;
+  if (back.error != Error::kNone) co_return std::nullopt;
+  const std::optional<council::Came> came = co_await CameOf(back.index, until);
+  error = Error::kStale;
+  if (!came) co_return std::nullopt;
+  for (const freeze::Effect& effect : came->freeze) {
+    if (effect.request != command.request || effect.who != self_) continue;
+    error = effect.what == freeze::Effect::What::kRefused ? effect.error : Error::kNone;
+    co_return effect;
+  }
+  co_return std::nullopt;
+}
+
+Task<Council::Permission> Council::Ask(freeze::ChangeKind kind, freeze::Scope scope, std::string by,
+                                       std::string reason) {
+  using Kind = freeze::Command::Kind;
+  const Micros until = machine_.Now() + settings_.ask_ms * kMs;
+  Permission permission;
+  freeze::Permit permit;
+  freeze::Command command;
+  command.kind = Kind::kAsk;
+  command.change_kind = kind;
+  command.scope = scope;
+  command.steps = {freeze::NameOf(kind)};
+  command.by = by;
+  command.reason = reason;
+  Micros asked = machine_.Now();
+  std::optional<freeze::Effect> effect;
+  if (open_) {
+    effect = co_await Agree(command, until, permission.error);
+  } else {
+    permission.error = Error::kNoCouncil;
+  }
+  if (effect && permission.error == Error::kNone) {
+    permit.Heard(asked, *effect);
+    permission.change = effect->change;
+    command = {};
+    command.kind = Kind::kStep;
+    command.change = effect->change;
+    command.by = by;
+    command.reason = reason;
+    asked = machine_.Now();
+    effect = co_await Agree(command, until, permission.error);
+    if (effect && permission.error == Error::kNone) {
+      permit.Heard(asked, *effect);
+      permission.error = permit.MayBegin(machine_.Now());
+      if (permission.error == Error::kNone) permission.error = permit.Begun(machine_.Now());
+      permission.epoch = permit.epoch();
+    }
+    if (permission.error != Error::kNone && finishing_.size() < kMostFinishing) {
+      command.kind = Kind::kAbandon;
+      finishing_[command.change] = command;
+    }
+  } else if (!effect && permission.error != Error::kNone && permission.change == 0) {
+    const freeze::LocalGate::Answer local = gate_.Ask(kind, scope, by, reason, Missing());
+    permission.retry = local.retry;
+    if (local.error == Error::kNone) {
+      // On the disk before it goes on: it is told to the council also after a restart.
+      std::string why;
+      machine_.files().Replace(setup_.stem + ".emergencies", gate_.Save(), why);
+      permission.error = Error::kNone;
+      log_.Tell<"council_emergency">(freeze::NameOf(kind), freeze::TextOf(scope), by, reason);
+      co_return permission;
+    }
+    for (const std::string& name : local.missing)
+      permission.text += (permission.text.empty() ? "missing: " : ", ") + name;
+  }
+  if (permission.error == Error::kNone) co_return permission;
+  if (effect) {
+    permission.incident = effect->incident;
+    permission.retry = effect->retry;
+    if (effect->incident != 0) {
+      permission.text.append("incident ").append(std::to_string(effect->incident));
+      permission.text.append(" (").append(freeze::NameOf(effect->incident_kind)).append(", ");
+      permission.text.append(freeze::TextOf(effect->scope)).append(")");
+    } else if (effect->change != 0 && permission.error != Error::kNone) {
+      permission.text.append("change ").append(std::to_string(effect->change));
+      permission.text.append(" (").append(freeze::NameOf(effect->change_kind)).append(", ");
+      permission.text.append(freeze::TextOf(effect->scope)).append(")");
+    }
+  }
+  log_.Tell<"council_change_refused">(freeze::NameOf(kind), freeze::TextOf(scope),
+                                      owner::NameOf(permission.error), permission.text);
+  co_return permission;
+}
+
+void Council::Done(const Permission& permission) {
+  if (permission.change == 0 || permission.error != Error::kNone || finishing_.size() >= kMostFinishing)
+    return;
+  freeze::Command command;
+  command.kind = freeze::Command::Kind::kStepDone;
+  command.who = self_;
+  command.change = permission.change;
+  command.epoch = permission.epoch;
+  finishing_[permission.change] = command;
+  finish_at_ = 0;
+  stir_.Notify();
+}
+
+// Told until the own replica says that the change has ended.
+void Council::FinishChanges() {
+  const Micros now = machine_.Now();
+  if (now < finish_at_ || (finishing_.empty() && gate_.kept() == 0)) return;
+  finish_at_ = now + kFinishEvery;
+  std::erase_if(finishing_, [this](const auto& one) {
+    return applied_ >= one.first && !state_.freeze().changes().contains(one.first);
+  });
+  std::vector<std::string> out;
+  for (auto& [change, command] : finishing_) {
+    command.who = self_;
+    command.request = ++requests_;
+    out.push_back(council::Envelope(command));
+  }
+  for (const freeze::Command& command : gate_.Untold()) out.push_back(council::Envelope(command));
+  for (std::string& data : out) Post(std::move(data));
+}
+
+void Council::CarryFreeze(const freeze::Effects& effects) {
+  using What = freeze::Effect::What;
+  if (!effects.empty()) SyncLapse();
+  for (const freeze::Effect& effect : effects) {
+    const size_t kept = gate_.kept();
+    gate_.Applied(effect);
+    if (gate_.kept() != kept) {
+      std::string why;
+      machine_.files().Replace(setup_.stem + ".emergencies", gate_.Save(), why);
+    }
+    std::string scope = freeze::TextOf(effect.scope);
+    const auto incident = state_.freeze().incidents().find(effect.incident);
+    if (incident != state_.freeze().incidents().end()) scope = freeze::TextOf(incident->second.scope);
+    if (effect.what == What::kOpened)
+      log_.Tell<"council_incident">(effect.incident, "opened", scope, effect.pending);
+    if (effect.what == What::kIncidentYes)
+      log_.Tell<"council_incident">(effect.incident, "in force", scope, 0);
+    if (effect.what == What::kIncidentOver) log_.Tell<"council_incident">(effect.incident, "over", scope, 0);
+    if (effect.what == What::kGlass) log_.Tell<"council_glass">(effect.change, effect.by, effect.reason);
+    if (effect.what == What::kHold && effect.who == self_)
+      log_.Tell<"council_hold">(effect.change, effect.incident,
+                                effect.how == freeze::UnderWay::kUndo ? "undo" : "finish");
+  }
+}
+
+// Leases of changes and grants, as this leader's clock counts them.
+void Council::SyncLapse() {
+  if (!Leads()) return;
+  const Micros now = machine_.Now();
+  std::map<std::string, owner::Lease> standing;
+  for (owner::Lease& lease : state_.freeze().Leases()) standing.emplace(lease.key, std::move(lease));
+  for (const auto& [key, lease] : freeze_leases_) {
+    if (!standing.contains(key)) freeze_lapse_.Ended(key);
+  }
+  for (const auto& [key, lease] : standing) {
+    const auto before = freeze_leases_.find(key);
+    if (before == freeze_leases_.end() || before->second.renewed != lease.renewed ||
+        before->second.epoch != lease.epoch)
+      freeze_lapse_.Began(now, lease);
+  }
+  freeze_leases_ = std::move(standing);
+}
+
+// "open SCOPE BY REASON" and "close NUMBER BY REASON". The answer to the first is the promise: it comes once
+// no step that the incident forbids can begin any more.
+Task<std::string> Council::Incident(std::string words) {
+  const std::string what = FirstWord(words), about = FirstWord(words);
+  freeze::Command command;
+  command.by = FirstWord(words);
+  command.reason = words;
+  if (command.reason.empty() || (what != "open" && what != "close")) co_return Failed(Error::kMalformed);
+  const Micros began = machine_.Now(), until = began + settings_.ask_ms * kMs;
+  Error error = Error::kNone;
+  if (what == "close") {
+    command.kind = freeze::Command::Kind::kClose;
+    const auto [end, bad] = std::from_chars(about.data(), about.data() + about.size(), command.incident);
+    if (bad != std::errc() || end != about.data() + about.size()) co_return Failed(Error::kMalformed);
+    co_await Agree(command, until, error);
+    co_return error == Error::kNone ? "incident " + about + " is over\n" : Failed(error);
+  }
+  command.kind = freeze::Command::Kind::kOpen;
+  const size_t colon = about.find(':');
+  const std::string kind = about.substr(0, colon),
+                    name = colon == std::string::npos ? "" : about.substr(colon + 1);
+  if (kind == "zone") {
+    command.scope = freeze::Scope::Zone(name);
+  } else if (kind == "group") {
+    command.scope = freeze::Scope::Group(name);
+  } else if (kind == "node") {
+    command.scope = freeze::Scope::Node(name, "", "");
+  } else if (kind == "balancer") {
+    command.scope = freeze::Scope::Balancer(name, "");
+  } else if (kind != "site") {
+    co_return Failed(Error::kMalformed,
+                     "A scope is site, zone:NAME, group:NAME, node:NAME or balancer:NAME.");
+  }
+  const std::optional<freeze::Effect> opened = co_await Agree(command, until, error);
+  if (error != Error::kNone || !opened) {
+    std::string missing;
+    for (const std::string& one : Missing()) missing += (missing.empty() ? "Missing: " : ", ") + one;
+    co_return Failed(error, error == Error::kNoMajority ? missing : "");
+  }
+  const Micros yes_until = machine_.Now() + kYesWithin;
+  while (machine_.Now() < yes_until) {
+    const auto it = state_.freeze().incidents().find(opened->incident);
+    if (it == state_.freeze().incidents().end())
+      co_return Failed(Error::kUnknownIncident, "It was closed meanwhile.");
+    if (it->second.yes) {
+      co_return "incident " + std::to_string(opened->incident) + " is in force after " +
+          std::to_string((machine_.Now() - began) / kMs) + " ms: no step that it forbids begins\n";
+    }
+    co_await CameOf(applied_ + 1, std::min(yes_until, machine_.Now() + kTurnPause));
+  }
+  co_return Failed(Error::kGrantOut, "It stands, and is not yet in force.");
+}
+
 // ---- Works and acts --------------------------------------------------------------------------------------
 
 Task<> Council::Own(Held& held) {
@@ -997,6 +1270,7 @@
     }
     co_return co_await BeginLog(floor);
   }
+  if (what == "incident") co_return co_await Incident(rest);
   const Micros until = machine_.Now() + settings_.ask_ms * kMs;
   Word word;
   if (what == "add" || what == "remove") {
--- a/src/council/council.h
+++ b/src/council/council.h
@@ -22,6 +22,8 @@
 #include "council/store.h"
 #include "council/view.h"
 #include "council/word.h"
+#include "freeze/local_gate.h"
+#include "freeze/permit.h"
 #include "io/machine.h"
 #include "observe/log.h"
 #include "owner/executor.h"
@@ -48,6 +50,20 @@
   void Start();
   void Leave();  // in order: gives up what it owns, hands the lead over
 
+  // Whether a change of one step may begin now; it is then told by Done().
+  struct Permission {
+    owner::Error error = owner::Error::kNone;
+    std::string text;       // of an error: what stands against it, and what to do
+    uint64_t incident = 0;  // that forbids it; 0: none
+    Micros retry = 0;       // when to ask again
+    uint64_t change = 0;    // 0: begun without the council, as an emergency
+    uint64_t epoch = 0;
+  };
+  // `by` and `reason` break the glass of an incident, and let an emergency go on without a majority; both or
+  // none.
+  Task<Permission> Ask(freeze::ChangeKind kind, freeze::Scope scope, std::string by, std::string reason);
+  void Done(const Permission& permission);
+
  private:
   struct Asked {
     explicit Asked(Scheduler& scheduler) : came(scheduler) {}
@@ -118,6 +134,14 @@
   void Post(std::string data);
   council::Word Call(const std::string& words);
 
+  // Changes and incidents.
+  Task<std::optional<council::Came>> CameOf(uint64_t index, Micros until);
+  Task<std::optional<freeze::Effect>> Agree(freeze::Command command, Micros until, owner::Error& error);
+  void CarryFreeze(const freeze::Effects& effects);
+  void SyncLapse();
+  void FinishChanges();
+  Task<std::string> Incident(std::string words);
+
   // Works and acts.
   Task<> Own(Held& held);
   std::string WorkOf(const Held& held) const;
@@ -161,6 +185,14 @@
   uint64_t applied_ = 0;
   uint64_t saved_ = 0;  // through this entry the last snapshot was made
   owner::Lapse lapse_;
+  owner::Lapse freeze_lapse_;
+  std::map<std::string, owner::Lease> freeze_leases_;  // that are counted
+  std::map<uint64_t, council::Came> recent_;           // the last that were carried out
+  std::list<Event*> on_applied_;
+  uint64_t requests_ = 0;
+  std::map<uint64_t, freeze::Command> finishing_;  // by change: to be told until it has ended
+  Micros finish_at_ = 0;
+  freeze::LocalGate gate_;
   Micros led_on_at_ = 0;
 
   uint64_t numbers_ = 0;
--- a/src/council/state.cpp
+++ b/src/council/state.cpp
@@ -17,6 +17,11 @@
   return data += owner::Write(command);
 }
 
+std::string Envelope(const freeze::Command& command) {
+  std::string data(1, static_cast<char>(Part::kFreeze));
+  return data += freeze::Write(command);
+}
+
 Came State::Apply(uint64_t index, Micros at, std::string_view data) {
   Came came;
   came.index = index;
@@ -29,10 +34,18 @@
       came.known = true;
     }
   }
+  if (data[0] == static_cast<char>(Part::kFreeze)) {
+    if (const auto command = freeze::ReadCommand(inner)) {
+      came.freeze = freeze_.Apply(index, at, *command);
+      came.known = true;
+    }
+  }
   return came;
 }
 
-std::string State::Save() const { return Packed(2).Add(kVersion).Add(owner_.Save()).Take(); }
+std::string State::Save() const {
+  return Packed(3).Add(kVersion).Add(owner_.Save()).Add(freeze_.Save()).Take();
+}
 
 std::optional<State> State::Load(std::string_view bytes) {
   try {
@@ -40,7 +53,10 @@
     if (from.Number() != kVersion) return {};
     auto owner = owner::State::Load(from.Bytes(kLargest));
     if (!owner) return {};
+    auto freeze = freeze::State::Load(from.Bytes(kLargest));
+    if (!freeze) return {};
     State state;
+    state.freeze_ = std::move(*freeze);
     state.owner_ = std::move(*owner);
     return state;
   } catch (const Slip&) {
--- a/src/council/state.h
+++ b/src/council/state.h
@@ -8,20 +8,23 @@
 #include <string>
 #include <string_view>
 
+#include "freeze/freeze.h"
 #include "io/time.h"
 #include "owner/owner.h"
 
 namespace burlfall::council {
 
 // The room whose command an entry holds; the first byte of its data.
-enum class Part : char { kOwner = 'o' };
+enum class Part : char { kOwner = 'o', kFreeze = 'f' };
 
 std::string Envelope(const owner::Command& command);
+std::string Envelope(const freeze::Command& command);
 
 struct Came {
   uint64_t index = 0;
   bool known = true;  // false: not a command that this build knows, and nothing was done
   owner::Effects owner;
+  freeze::Effects freeze;
 };
 
 class State {
@@ -31,9 +34,11 @@
   static std::optional<State> Load(std::string_view bytes);
 
   const owner::State& owner() const { return owner_; }
+  const freeze::State& freeze() const { return freeze_; }
 
  private:
   owner::State owner_;
+  freeze::State freeze_;
 };
 
 }  // namespace burlfall::council
