--- a/src/control/control_call.cpp
+++ b/src/control/control_call.cpp
@@ -1,5 +1,6 @@
 #include "control/control_call.h"
 
+#include <algorithm>
 #include <optional>
 #include <string_view>
 
@@ -58,6 +59,45 @@
 
 }  // namespace
 
+std::string AnswerRefused(const Leave& leave) {
+  std::string answer = Answer(409, leave.why);
+  if (leave.retry <= 0) return answer;
+  std::string header;
+  AppendHeader(header, "Retry-After", std::to_string((leave.retry + kSecond - 1) / kSecond));
+  return answer.insert(answer.find("\r\n") + 2, header);
+}
+
+std::optional<ChangeCall> ChangeOf(const HttpMessage& call) {
+  if (call.method != "POST") return {};
+  const std::string_view target = call.target;
+  const std::string_view path = target.substr(0, target.find('?'));
+  ChangeCall change;
+  if (path == platform::kDrainPath) {
+    change.what = ChangeCall::What::kStandAside;
+  } else if (path == platform::kResumePath) {
+    change.what = ChangeCall::What::kComeBack;
+  } else {
+    const std::string_view nodes = platform::kNodesPath;
+    if (!path.starts_with(nodes)) return {};
+    const std::string_view rest = path.substr(nodes.size());
+    const size_t slash = rest.find('/');
+    const std::string_view what = slash == std::string_view::npos ? "" : rest.substr(slash);
+    if (what != platform::kOutPath && what != platform::kBackPath) return {};
+    const std::optional<std::string> name = Decode(rest.substr(0, slash));
+    if (!name) return {};
+    change.what = what == platform::kOutPath ? ChangeCall::What::kTakeOut : ChangeCall::What::kPutBack;
+    change.server = *name;
+  }
+  std::string_view query = target.size() > path.size() ? target.substr(path.size() + 1) : "";
+  while (!query.empty()) {
+    const std::string_view one = query.substr(0, query.find('&'));
+    query.remove_prefix(std::min(query.size(), one.size() + 1));
+    if (one.starts_with("by=")) change.by = Decode(one.substr(3)).value_or("");
+    if (one.starts_with("reason=")) change.reason = Decode(one.substr(7)).value_or("");
+  }
+  return change;
+}
+
 std::string AnswerBad(int status) { return Answer(status, Reason(status)); }
 
 std::string AnswerCall(const HttpMessage& call, Operations& operations) {
--- a/src/control/control_front.cpp
+++ b/src/control/control_front.cpp
@@ -1,6 +1,7 @@
 #include "control/control_front.h"
 
 #include <algorithm>
+#include <optional>
 #include <string_view>
 #include <utility>
 
@@ -71,8 +72,7 @@
   switch (parsed) {
     case Parsed::kMore:
       return "";
-    case Parsed::kDone:
-      return AnswerCall(call.parser.Take(), operations_);
+    case Parsed::kDone:  // Serve() has it
     case Parsed::kBad:
       return AnswerBad(400);
     case Parsed::kPart:
@@ -82,6 +82,17 @@
   return "";
 }
 
+// A change is asked for first, where balancers decide that together.
+Task<std::string> ControlFront::Carry(HttpMessage message) {
+  const std::optional<ChangeCall> change = ChangeOf(message);
+  if (!change) co_return AnswerCall(message, operations_);
+  const Leave leave = co_await operations_.MayBegin(*change);
+  if (!leave.granted) co_return AnswerRefused(leave);
+  std::string answer = AnswerCall(message, operations_);
+  operations_.Ended(leave);
+  co_return answer;
+}
+
 Task<> ControlFront::Serve(Call& call) {
   const Micros until = machine_.Now() + kCallPatience;
   std::string answer;
@@ -89,7 +100,8 @@
   while (answer.empty() && !gone) {
     const Io io = call.stream->Read(call.in);
     if (io == Io::kSome) {
-      answer = Read(call, call.parser.Feed(call.in));
+      const Parsed parsed = call.parser.Feed(call.in);
+      answer = parsed == Parsed::kDone ? co_await Carry(call.parser.Take()) : Read(call, parsed);
       if (call.parser.ExpectsContinue()) {
         std::string_view leave = "HTTP/1.1 100 Continue\r\n\r\n";
         call.stream->Write(leave);
--- a/src/control/control_front.h
+++ b/src/control/control_front.h
@@ -40,6 +40,7 @@
 
   Task<> Accept();
   Task<> Serve(Call& call);
+  Task<std::string> Carry(HttpMessage message);
   std::string Read(Call& call, Parsed parsed);
   void MakeRoom();
 
--- a/src/council/council.cpp
+++ b/src/council/council.cpp
@@ -1207,6 +1207,14 @@
       one.left = held->holder.until() - now;
     }
   }
+  for (const auto& [id, incident] : state_.freeze().incidents()) {
+    view.incidents.push_back({id, freeze::NameOf(incident.kind), freeze::TextOf(incident.scope), incident.by,
+                              incident.reason, incident.yes, incident.pending.size()});
+  }
+  for (const auto& [id, change] : state_.freeze().changes()) {
+    view.changes.push_back({id, freeze::NameOf(change.kind), freeze::TextOf(change.scope), change.owner.name,
+                            change.grant.has_value()});
+  }
   view.followers = links_->followers();
   view.obeyed = counters_.council_obeyed;
   view.fenced = counters_.council_fenced;
--- a/src/council/view.cpp
+++ b/src/council/view.cpp
@@ -73,12 +73,34 @@
   for (const std::string& missing : view.missing) out += "missing: " + missing + "\n";
   for (const VoterView& voter : view.voters) out.append("voter ") += Text(voter) + "\n";
   for (const WorkView& work : view.works) out.append("work ") += Text(work) + "\n";
+  for (const IncidentView& one : view.incidents) {
+    out.append("incident ") += Number(one.id) + "  " + one.scope + "  " + one.kind + "  " +
+                               (one.in_force ? "in force" : "not yet in force") + "  by " + one.by + ": " +
+                               one.reason + "\n";
+  }
+  for (const ChangeView& one : view.changes) {
+    out.append("change ") += Number(one.id) + "  " + one.kind + "  " + one.scope + "  by " + one.owner +
+                             (one.granted ? "  granted" : "") + "\n";
+  }
   return out + "acts obeyed " + Number(view.obeyed) + ", refused " + Number(view.fenced) + "; " +
          Number(view.followers) + " follow here\n";
 }
 
 std::string StatusJson(const View& view) {
-  std::string voters, works;
+  std::string voters, works, incidents, changes;
+  for (const IncidentView& one : view.incidents) {
+    incidents.append(incidents.empty() ? "{" : ",{");
+    incidents += Pair("incident", Number(one.id)) + "," + Pair("kind", Quote(one.kind)) + "," +
+                 Pair("scope", Quote(one.scope)) + "," + Pair("in_force", one.in_force ? "true" : "false") +
+                 "," + Pair("pending", Number(one.pending)) + "," + Pair("by", Quote(one.by)) + "," +
+                 Pair("reason", Quote(one.reason)) + "}";
+  }
+  for (const ChangeView& one : view.changes) {
+    changes.append(changes.empty() ? "{" : ",{");
+    changes += Pair("change", Number(one.id)) + "," + Pair("kind", Quote(one.kind)) + "," +
+               Pair("scope", Quote(one.scope)) + "," + Pair("owner", Quote(one.owner)) + "," +
+               Pair("granted", one.granted ? "true" : "false") + "}";
+  }
   for (const VoterView& voter : view.voters) voters.append(voters.empty() ? "" : ",").append(Json(voter));
   for (const WorkView& work : view.works) works.append(works.empty() ? "" : ",").append(Json(work));
   return std::string("{") + Pair("name", Quote(view.name)) + "," + Pair("role", Quote(view.role)) + "," +
@@ -89,7 +111,8 @@
          Pair("last", Number(view.last)) + "," + Pair("missing", List(view.missing)) + "," +
          Pair("followers", Number(view.followers)) + "," + Pair("obeyed", Number(view.obeyed)) + "," +
          Pair("fenced", Number(view.fenced)) + "," + Pair("voters", "[" + voters + "]") + "," +
-         Pair("works", "[" + works + "]") + "}\n";
+         Pair("works", "[" + works + "]") + "," + Pair("incidents", "[" + incidents + "]") + "," +
+         Pair("changes", "[" + changes + "]") + "}\n";
 }
 
 std::string ExplainText(const View& view, const std::string& name) {
--- a/src/council/view.h
+++ b/src/council/view.h
@@ -33,6 +33,19 @@
   uint64_t obeyed = 0;  // the highest epoch that this member obeyed
 };
 
+struct IncidentView {
+  uint64_t id = 0;
+  std::string kind, scope, by, reason;
+  bool in_force = false;
+  size_t pending = 0;
+};
+
+struct ChangeView {
+  uint64_t id = 0;
+  std::string kind, scope, owner;
+  bool granted = false;
+};
+
 struct View {
   std::string name;
   std::string role;      // leader, follower, ..., or "outside" of one that does not vote
@@ -46,6 +59,8 @@
   std::vector<VoterView> voters;
   std::vector<std::string> missing;  // voters that the leader has not heard for an election time-out
   std::vector<WorkView> works;
+  std::vector<IncidentView> incidents;
+  std::vector<ChangeView> changes;
   size_t followers = 0;
   uint64_t obeyed = 0, fenced = 0;  // acts
   std::vector<std::string> history;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -174,7 +174,11 @@
       "  begin [FLOOR]                       the log begins, on this voter; FLOOR after a majority was lost\n"
       "  add NAME | remove NAME              a change of voters, one at a time\n"
       "  hand-over WORK NAME                 to a member that waits for it\n"
-      "  take-away WORK BY REASON            from its owner");
+      "  take-away WORK BY REASON            from its owner\n"
+      "  incident open SCOPE BY REASON       site, zone:NAME, group:NAME, node:NAME or balancer:NAME; the "
+      "answer is\n"
+      "                                      the promise that no step that it forbids begins\n"
+      "  incident close NUMBER BY REASON");
   known.add_options()(
       "socket", options::value(&socket)->value_name("PATH")->required(),
       "the balancer's socket: burlfall-NAME.council in the folder that its council.toml names")("json",
@@ -188,7 +192,7 @@
     return UsageError("council knows status, explain, begin, add, remove, hand-over and take-away");
   constexpr std::pair<std::string_view, size_t> kKnown[] = {
       {"status", 1}, {"explain", 2},   {"begin", 1},     {"add", 2},
-      {"remove", 2}, {"hand-over", 3}, {"take-away", 4}, {"incident", 2}};
+      {"remove", 2}, {"hand-over", 3}, {"take-away", 4}, {"incident", 5}};
   const auto* const one = std::ranges::find(kKnown, said[0], &std::pair<std::string_view, size_t>::first);
   if (one == std::end(kKnown)) return UsageError("council does not know " + said[0]);
   if (said.size() < one->second) return UsageError("council " + said[0] + ": too few words");
--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -442,6 +442,60 @@
   return phase_ == Phase::kServing || phase_ == Phase::kHandedOver ? Verdict::kDone : Verdict::kNotNow;
 }
 
+// Without a council each balancer decides by itself.
+Task<Leave> Program::MayBegin(ChangeCall call) {
+  using What = ChangeCall::What;
+  if (!council_ || phase_ == Phase::kStarting) co_return Leave();
+  freeze::Scope scope = freeze::Scope::Balancer(config_.name, cluster_ ? cluster_->zone : "");
+  freeze::ChangeKind kind =
+      call.what == What::kStandAside ? freeze::ChangeKind::kDrain : freeze::ChangeKind::kUndrain;
+  if (call.what == What::kTakeOut || call.what == What::kPutBack) {
+    const bool out = call.what == What::kTakeOut;
+    // What is so already, or can't be, changes nothing.
+    if (!hosts_.Names(call.server) || hosts_.IsOut(call.server) == out) co_return Leave();
+    kind = out ? freeze::ChangeKind::kNodeOut : freeze::ChangeKind::kNodeBack;
+    scope = freeze::Scope::Node(call.server, "", "");
+    for (const HostRecord& host : hosts_.Records()) {
+      if (host.name != call.server) continue;
+      scope = freeze::Scope::Node(call.server, std::to_string(host.zone), std::to_string(host.kind));
+    }
+  } else if ((phase_ == Phase::kAside) == (call.what == What::kStandAside)) {
+    co_return Leave();
+  }
+  co_return co_await Leaving(kind, scope, std::move(call.by), std::move(call.reason));
+}
+
+Task<Leave> Program::MayReload() {
+  if (!council_) co_return Leave();
+  co_return co_await Leaving(freeze::ChangeKind::kReload,
+                             freeze::Scope::Balancer(config_.name, cluster_ ? cluster_->zone : ""), "", "");
+}
+
+Task<Leave> Program::Leaving(freeze::ChangeKind kind, freeze::Scope scope, std::string by,
+                             std::string reason) {
+  const Council::Permission permission =
+      co_await council_->Ask(kind, std::move(scope), std::move(by), std::move(reason));
+  Leave leave;
+  leave.granted = permission.error == owner::Error::kNone;
+  leave.change = permission.change;
+  leave.epoch = permission.epoch;
+  leave.retry = permission.retry;
+  if (leave.granted) co_return leave;
+  leave.why = std::string(owner::NameOf(permission.error)) + ": " + owner::WhatToDo(permission.error);
+  if (!permission.text.empty()) leave.why += " " + permission.text;
+  if (permission.retry > 0)
+    leave.why += "; ask again in " + std::to_string(permission.retry / kSecond) + " s";
+  co_return leave;
+}
+
+void Program::Ended(const Leave& leave) {
+  if (!council_ || leave.change == 0) return;
+  Council::Permission permission;
+  permission.change = leave.change;
+  permission.epoch = leave.epoch;
+  council_->Done(permission);
+}
+
 void Program::SetAside(bool aside) {
   if (phase_ != (aside ? Phase::kServing : Phase::kAside)) return;
   phase_ = aside ? Phase::kAside : Phase::kServing;
--- a/src/serve/program.h
+++ b/src/serve/program.h
@@ -63,6 +63,10 @@
 
   void Start();
   void Drain();  // ends, in order: the scheduler stops once it has
+  // Whether what SIGHUP asks for may be done now; where it may not, that is in the log. To be told by
+  // Ended().
+  Task<Leave> MayReload();
+  void ReloadEnded(const Leave& leave) { Ended(leave); }
   // Takes up a configuration read anew: where discovery is, and the descriptors it allows. The rest holds
   // until the next start; false where it differs.
   bool Reload(Config config);
@@ -80,6 +84,8 @@
   Verdict PutBack(std::string_view server) override;
   Verdict StandAside() override;
   Verdict ComeBack() override;
+  Task<Leave> MayBegin(ChangeCall call) override;
+  void Ended(const Leave& leave) override;
 
   // What the other process of a hand-over tells it.
   std::optional<Estate> GiveUpDoor(std::string& why) override;
@@ -93,6 +99,7 @@
   void OtherPutBack(const NodeCall& call) override;
   void OtherDrains(bool drains) override;
 
+  Task<Leave> Leaving(freeze::ChangeKind kind, freeze::Scope scope, std::string by, std::string reason);
   Task<> Begin();
   void BeginAlone();
   std::function<std::optional<Micros>(Micros)> NotReady();
--- a/src/serve/serve.cpp
+++ b/src/serve/serve.cpp
@@ -49,16 +49,28 @@
   }
 }
 
+// Where balancers decide that together, a reload is asked for first; the end of the program waits for
+// nothing.
+Task<> ReloadOnce(Program& program, const std::string& path, Files& files, Log& log) {
+  const Leave leave = co_await program.MayReload();
+  if (!leave.granted) co_return;
+  Reload(program, path, files, log);
+  program.ReloadEnded(leave);
+}
+
 // SIGTERM and SIGINT end the program in order, SIGUSR1 prints the counters, SIGHUP has the files read.
 Task<> HearSignals(ProcessSignals& signals, Program& program, const std::string& path, Files& files,
                    Log& log) {
+  Task<> reloading;
   while (true) {
     while (const int one = signals.Take()) {
       if (one == SIGUSR1) {
         TellCounters(program, log);
         program.Dump();
       } else if (one == SIGHUP) {
-        Reload(program, path, files, log);
+        if (!reloading.Done()) continue;  // one is being asked for
+        reloading = ReloadOnce(program, path, files, log);
+        reloading.Start();
       } else {
         program.Drain();
       }
