--- a/src/control/control_front.cpp
+++ b/src/control/control_front.cpp
@@ -89,7 +89,7 @@
   const Leave leave = co_await operations_.MayBegin(*change);
   if (!leave.granted) co_return AnswerRefused(leave);
   std::string answer = AnswerCall(message, operations_);
-  operations_.Ended(leave);
+  co_await operations_.Ended(leave);
   co_return answer;
 }
 
@@ -101,7 +101,12 @@
     const Io io = call.stream->Read(call.in);
     if (io == Io::kSome) {
       const Parsed parsed = call.parser.Feed(call.in);
-      answer = parsed == Parsed::kDone ? co_await Carry(call.parser.Take()) : Read(call, parsed);
+      if (parsed == Parsed::kDone) {
+        HttpMessage message = call.parser.Take();
+        answer = co_await Carry(std::move(message));
+      } else {
+        answer = Read(call, parsed);
+      }
       if (call.parser.ExpectsContinue()) {
         std::string_view leave = "HTTP/1.1 100 Continue\r\n\r\n";
         call.stream->Write(leave);
--- a/src/control/operations.h
+++ b/src/control/operations.h
@@ -45,7 +45,7 @@
   virtual Verdict ComeBack() = 0;
   // Asked before each of the four above that comes as a call, and told once that was done.
   virtual Task<Leave> MayBegin(ChangeCall call) = 0;
-  virtual void Ended(const Leave& leave) = 0;
+  virtual Task<> Ended(Leave leave) = 0;
 
  protected:
   ~Operations() = default;
--- a/src/council/council.cpp
+++ b/src/council/council.cpp
@@ -28,6 +28,7 @@
 constexpr size_t kMostJoining = 16;
 constexpr size_t kMostRecent = 512;
 constexpr size_t kMostFinishing = 256;
+constexpr Micros kDoneWithin = kSecond;
 constexpr Micros kFinishEvery = 300 * kMs;
 constexpr Micros kYesWithin = 15 * kSecond;
 constexpr size_t kHistoryLines = 400;
@@ -349,6 +350,7 @@
 // ---- The core's way round --------------------------------------------------------------------------------
 
 void Council::Settle() {
+  if (shut_) return;
   settle_again_ = true;
   if (settling_) return;
   settling_ = true;
@@ -694,6 +696,7 @@
 Task<Word> Council::AskLeader(Word word, Micros until) {
   Word last;
   while (true) {
+    if (shut_) co_return Word{.error = Error::kNoCouncil};
     word.number = ++numbers_;
     Asked asked(machine_.scheduler());
     asked_[word.number] = &asked;
@@ -711,7 +714,8 @@
     Settle();
     stir_.Notify();
     const Micros step = std::min(until, machine_.Now() + kAnswerWithin);
-    while (!asked.answer && machine_.Now() < step) co_await asked.came.Wait(step);
+    while (!asked.answer && machine_.Now() < step && !shut_) co_await asked.came.Wait(step);
+    if (shut_) continue;
     last = asked.answer.value_or(Word{.error = Error::kNoMajority});
     if (last.error != Error::kNotLeader && last.error != Error::kNoMajority) co_return last;
     hint_ = last.error == Error::kNotLeader && last.address != to ? last.address : "";
@@ -721,12 +725,13 @@
       co_return last;
     }
     const Micros pause = std::min(until, machine_.Now() + kTurnPause);
-    while (machine_.Now() < pause) co_await asked.came.Wait(pause);
+    while (machine_.Now() < pause && !shut_) co_await asked.came.Wait(pause);
   }
 }
 
 // What is lost is proposed again by whoever wants it.
 void Council::Post(std::string data) {
+  if (shut_) return;
   const Word word{.kind = Word::Kind::kPropose, .data = std::move(data)};
   if (Leads()) {
     Handle(word, 0);
@@ -748,7 +753,7 @@
     std::list<Event*>::iterator place;
     ~Listed() { all.erase(place); }
   } listed{on_applied_, on_applied_.insert(on_applied_.end(), &applied)};
-  while (applied_ < index && machine_.Now() < until) {
+  while (applied_ < index && machine_.Now() < until && !shut_) {
     if (!VotedIn()) follower_->AskNow(machine_.Now());
     Settle();
     stir_.Notify();
@@ -772,6 +777,7 @@
   if (!came) co_return std::nullopt;
   for (const freeze::Effect& effect : came->freeze) {
     if (effect.request != command.request || effect.who != self_) continue;
+    if (effect.what == freeze::Effect::What::kGlass) continue;  // beside the answer
     error = effect.what == freeze::Effect::What::kRefused ? effect.error : Error::kNone;
     co_return effect;
   }
@@ -793,7 +799,7 @@
   command.reason = reason;
   Micros asked = machine_.Now();
   std::optional<freeze::Effect> effect;
-  if (open_) {
+  if (open_ && !shut_) {
     effect = co_await Agree(command, until, permission.error);
   } else {
     permission.error = Error::kNoCouncil;
@@ -819,7 +825,8 @@
       finishing_[command.change] = command;
     }
   } else if (!effect && permission.error != Error::kNone && permission.change == 0) {
-    const freeze::LocalGate::Answer local = gate_.Ask(kind, scope, by, reason, Missing());
+    const std::vector<std::string> missing = open_ && !shut_ ? Missing() : std::vector<std::string>();
+    const freeze::LocalGate::Answer local = gate_.Ask(kind, scope, by, reason, missing);
     permission.retry = local.retry;
     if (local.error == Error::kNone) {
       // On the disk before it goes on: it is told to the council also after a restart.
@@ -851,9 +858,9 @@
   co_return permission;
 }
 
-void Council::Done(const Permission& permission) {
-  if (permission.change == 0 || permission.error != Error::kNone || finishing_.size() >= kMostFinishing)
-    return;
+Task<> Council::Done(Permission permission) {
+  if (permission.change == 0 || permission.error != Error::kNone) co_return;
+  if (finishing_.size() >= kMostFinishing) co_return;
   freeze::Command command;
   command.kind = freeze::Command::Kind::kStepDone;
   command.who = self_;
@@ -861,7 +868,10 @@
   command.epoch = permission.epoch;
   finishing_[permission.change] = command;
   finish_at_ = 0;
-  stir_.Notify();
+  FinishChanges();
+  const Micros until = machine_.Now() + kDoneWithin;
+  while (state_.freeze().changes().contains(permission.change) && machine_.Now() < until && !shut_)
+    co_await CameOf(applied_ + 1, until);
 }
 
 // Told until the own replica says that the change has ended.
@@ -1110,8 +1120,22 @@
   return "";
 }
 
+void Council::Shut() {
+  shut_ = true;
+  for (Task<>* task : {&opening_, &beating_, &hearing_disk_, &hearing_epochs_, &learning_, &awaiting_})
+    *task = {};
+  askers_.clear();
+  asked_at_.reset();
+  held_.clear();
+  links_.reset();
+  disk_.reset();
+  epoch_disk_.reset();
+  for (const auto& [number, asked] : asked_) asked->came.Notify();
+  for (Event* waiter : on_applied_) waiter->Notify();
+}
+
 void Council::Leave() {
-  if (!open_ || left_) return;
+  if (!open_ || left_ || shut_) return;
   for (const auto& held : held_) {
     held->holder.GiveUp();
     for (const owner::Command& command : held->holder.Tick(machine_.Now())) Post(council::Envelope(command));
--- a/src/council/council.h
+++ b/src/council/council.h
@@ -48,6 +48,8 @@
   // Binds the address, and tries again for as long as it can't be had: the process before may still hold it,
   // and with it the disk.
   void Start();
+  // Lets go of address, disk and socket at once, and without a word. Whoever waits in Ask() is refused.
+  void Shut();
   void Leave();  // in order: gives up what it owns, hands the lead over
 
   // Whether a change of one step may begin now; it is then told by Done().
@@ -62,7 +64,8 @@
   // `by` and `reason` break the glass of an incident, and let an emergency go on without a majority; both or
   // none.
   Task<Permission> Ask(freeze::ChangeKind kind, freeze::Scope scope, std::string by, std::string reason);
-  void Done(const Permission& permission);
+  // Once the council knows, or after a second; it is told until it knows.
+  Task<> Done(Permission permission);
 
  private:
   struct Asked {
@@ -169,6 +172,7 @@
   const owner::Who self_;
   bool open_ = false;
   bool left_ = false;
+  bool shut_ = false;
 
   std::optional<council::Store> store_;
   std::string fault_;  // of the disk
--- a/src/lab/council/real_council.cpp
+++ b/src/lab/council/real_council.cpp
@@ -24,6 +24,7 @@
 
 constexpr int kPort = 7950;
 constexpr int kClientPort = 8000;
+constexpr int kAdminPort = 8100;
 constexpr int kBlock = 190;
 constexpr int kHosts = 125;                 // of each kind in the block
 constexpr Micros kPatience = 90 * kSecond;  // only there for a program that is broken
@@ -270,7 +271,68 @@
         children_.Terminate(owner);
         co_await Until("another owner", next_owner);
         break;
+      case CouncilFault::kIncident:
+        co_await Incident();
+        break;
+      case CouncilFault::kAlone:
+        co_await Alone(leader);
+        break;
+    }
+  }
+
+  Task<> Incident() {
+    const int a = static_cast<int>(Draw64() % ones_.size()), b = (a + 1) % options_.members;
+    const std::string opened = co_await Ask(a, "incident open site lab testing");
+    if (!opened.starts_with("incident ")) co_return Fail("incident: " + opened);
+    const std::string number = opened.substr(9, opened.find(' ', 9) - 9);
+    const std::string refused = co_await Tell(b, "/healthcheck/fail");
+    if (!refused.starts_with("HTTP/1.1 409") || refused.find("frozen") == std::string::npos)
+      Break("a drain that an incident forbids was answered: " + refused);
+    const std::string glass = co_await Tell(b, "/healthcheck/fail?by=lab&reason=glass");
+    if (!glass.starts_with("HTTP/1.1 200")) Break("a drain by broken glass was answered: " + glass);
+    const std::string back = co_await Tell(b, "/healthcheck/ok?by=lab&reason=glass");
+    if (!back.starts_with("HTTP/1.1 200")) Break("its end was answered: " + back);
+    const std::string closed = co_await Ask(a, "incident close " + number + " lab over");
+    if (!closed.starts_with("incident ")) co_return Fail("close: " + closed);
+    for (const char* path : {"/healthcheck/fail", "/healthcheck/ok"}) {
+      const std::string done = co_await Tell(b, path);
+      if (!done.starts_with("HTTP/1.1 200")) Break("a drain after the incident was answered: " + done);
+    }
+  }
+
+  Task<> Alone(int leader) {
+    const int who = (leader + 1) % options_.members;
+    for (int i = 0; i < options_.members; ++i) {
+      if (i == who) continue;
+      paths_.Set(i, who, {.cut = true});
+      paths_.Set(who, i, {.cut = true});
     }
+    const std::string refused = co_await Tell(who, "/healthcheck/fail");
+    if (!refused.starts_with("HTTP/1.1 409") || refused.find("no_majority") == std::string::npos)
+      Break("a drain without a majority was answered: " + refused);
+    for (int i = 0; i < options_.members; ++i) {
+      paths_.Set(i, who, {});
+      paths_.Set(who, i, {});
+    }
+  }
+
+  // An operator's call at the second address; the whole answer.
+  Task<std::string> Tell(int i, std::string path) {
+    const Micros until = machine_.Now() + kPatience;
+    NoConnection why = NoConnection::kRefused;
+    std::string answer;
+    const std::unique_ptr<Stream> stream =
+        machine_.network().Connect(*ReadAddress(At(HostOf(i, false), kAdminPort)), why);
+    if (!stream || !co_await Connected(*stream, until)) co_return answer;
+    const std::string call = "POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
+    if (!co_await WriteAll(*stream, call, until)) co_return answer;
+    while (true) {
+      const Io io = stream->Read(answer);
+      if (io == Io::kClosed || io == Io::kBroken) break;
+      if (io == Io::kLater && !co_await stream->Wait(until)) break;
+    }
+    options_.tells(Name(i) + " " + path + ": " + answer.substr(0, 12));
+    co_return answer;
   }
 
   // A voter's folder is gone: it comes back as a new voter, and is in once the leader was told to bring it
@@ -406,7 +468,9 @@
     start.listen = child.listen;
     start.discovery = child.discovery;
     start.seed = static_cast<uint64_t>(i) + 1;
-    child.config = ConfigJson(site_, script_, i, start);
+    auto config = nlohmann::json::parse(ConfigJson(site_, script_, i, start));
+    config["admin"] = At(HostOf(i, false), kAdminPort);
+    child.config = config.dump();
     Of(i).runs = true;
     Of(i).serving = Of(i).paused = Of(i).again = false;
     Of(i).obeyed = 0;
@@ -514,7 +578,8 @@
 const char* NameOf(CouncilFault fault) {
   constexpr const char* kNames[] = {"pause-at-step", "pause-owner", "pause-briefly", "pause-leader",
                                     "kill-owner",    "kill-leader", "kill-all",      "wipe",
-                                    "deaf-leader",   "mute-leader", "restart-owner"};
+                                    "deaf-leader",   "mute-leader", "restart-owner", "incident",
+                                    "alone"};
   return kNames[static_cast<size_t>(fault)];
 }
 
--- a/src/lab/council/real_council.h
+++ b/src/lab/council/real_council.h
@@ -31,8 +31,10 @@
   kDeafLeader,    // hears no other voter, and is heard
   kMuteLeader,    // hears the others, and is not heard
   kRestartOwner,  // in order
+  kIncident,      // opened at one member: another's drain is refused until it is closed, or by broken glass
+  kAlone,  // a member that hears nobody: its drain is refused, and an emergency goes on and is told later
 };
-constexpr int kCouncilFaults = 11;
+constexpr int kCouncilFaults = 13;
 const char* NameOf(CouncilFault fault);
 
 struct CouncilOptions {
--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -94,8 +94,8 @@
           machine.scheduler(), config_.settings, config_.seed, upstream_, [this] { discovery_.Follow(); },
           counters_),
       front_({machine, config_, dispatcher_, budget_, tokens_, door_, figures_.get(), counters_, NotReady()}),
-      cluster_(cluster),
       council_settings_(council),
+      cluster_(cluster),
       moved_(machine.scheduler()),
       sweep_(machine.scheduler()) {
   if (config_.admin.length > 0)
@@ -122,8 +122,9 @@
 void Program::Join() {
   if (council_settings_) {
     const std::string& place = Named(config_, council_settings_->folder);
-    council_.emplace(machine_, *council_settings_,
-                     Council::Setup{config_.name, PathFor(config_, place, ""), place}, log_, counters_);
+    council_ = std::make_unique<Council>(machine_, *council_settings_,
+                                         Council::Setup{config_.name, PathFor(config_, place, ""), place},
+                                         log_, counters_);
     council_->Start();
   }
   if (!cluster_) return;
@@ -488,12 +489,12 @@
   co_return leave;
 }
 
-void Program::Ended(const Leave& leave) {
-  if (!council_ || leave.change == 0) return;
+Task<> Program::Ended(Leave leave) {
+  if (!council_ || leave.change == 0) co_return;
   Council::Permission permission;
   permission.change = leave.change;
   permission.epoch = leave.epoch;
-  council_->Done(permission);
+  co_await council_->Done(permission);
 }
 
 void Program::SetAside(bool aside) {
@@ -539,8 +540,11 @@
   phase_ = Phase::kHandedOver;
   log_.Tell<"handed_over">(front_.open(), dispatcher_.open());
   front_.Shut();
-  member_.reset();   // without a word: the heir goes on in its place, and nobody misses it
-  council_.reset();  // likewise; its disk and its address are the heir's
+  member_.reset();  // without a word: the heir goes on in its place, and nobody misses it
+  if (council_) {   // likewise; its disk and its address are the heir's
+    council_->Shut();
+    councils_before_.push_back(std::move(council_));
+  }
   hosts_.LeaveCold(true, machine_.Now());
   HostsChanged();
   upstream_.RetireAll();
--- a/src/serve/program.h
+++ b/src/serve/program.h
@@ -66,7 +66,7 @@
   // Whether what SIGHUP asks for may be done now; where it may not, that is in the log. To be told by
   // Ended().
   Task<Leave> MayReload();
-  void ReloadEnded(const Leave& leave) { Ended(leave); }
+  Task<> ReloadEnded(Leave leave) { return Ended(std::move(leave)); }
   // Takes up a configuration read anew: where discovery is, and the descriptors it allows. The rest holds
   // until the next start; false where it differs.
   bool Reload(Config config);
@@ -85,7 +85,7 @@
   Verdict StandAside() override;
   Verdict ComeBack() override;
   Task<Leave> MayBegin(ChangeCall call) override;
-  void Ended(const Leave& leave) override;
+  Task<> Ended(Leave leave) override;
 
   // What the other process of a hand-over tells it.
   std::optional<Estate> GiveUpDoor(std::string& why) override;
@@ -149,12 +149,13 @@
   Dispatcher dispatcher_;
   std::unique_ptr<Capture> capture_;
   HttpFront front_;
+  const std::optional<CouncilSettings> council_settings_;
+  std::unique_ptr<Council> council_;
+  std::vector<std::unique_ptr<Council>> councils_before_;  // shut: a call may still wait in one
   std::optional<ControlFront> control_;
   std::optional<Handover> handover_;
   const std::optional<ClusterSettings> cluster_;
   std::optional<ClusterMember> member_;
-  const std::optional<CouncilSettings> council_settings_;
-  std::optional<Council> council_;
   Phase phase_ = Phase::kStarting;
   Phase before_hand_on_ = Phase::kServing;
   bool end_asked_ = false;  // before it served
--- a/src/serve/serve.cpp
+++ b/src/serve/serve.cpp
@@ -55,7 +55,7 @@
   const Leave leave = co_await program.MayReload();
   if (!leave.granted) co_return;
   Reload(program, path, files, log);
-  program.ReloadEnded(leave);
+  co_await program.ReloadEnded(leave);
 }
 
 // SIGTERM and SIGINT end the program in order, SIGUSR1 prints the counters, SIGHUP has the files read.
--- /dev/null
+++ b/tests/council/durable_test.cpp
@@ -0,0 +1,66 @@
+// Durable writes on the real system: done in order, whole or not at all, and a failure is the last word.
+#include "io/durable.h"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
+#include "io/real_machine.h"
+
+namespace burlfall {
+namespace {
+
+std::string Text(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+class DurableTest : public testing::Test {
+ protected:
+  DurableTest() {
+    std::string made = (std::filesystem::temp_directory_path() / "burlfall-XXXXXX").string();
+    folder = mkdtemp(made.data());
+  }
+  ~DurableTest() override { std::filesystem::remove_all(folder); }
+  // Runs until so many batches are done, or one has failed.
+  void Await(DurableWriter& writer, uint64_t done) {
+    auto waiting = [&]() -> Task<> {
+      while (writer.done() < done && writer.Why().empty()) co_await writer.Wait();
+      machine.scheduler().Stop();
+    };
+    Task<> task = waiting();
+    task.Start();
+    machine.scheduler().Run();
+  }
+
+  RealMachine machine;
+  std::string folder;
+};
+
+TEST_F(DurableTest, WritesInOrderAndCutsBehind) {
+  const std::unique_ptr<DurableWriter> writer = machine.Durable();
+  const std::string path = folder + "/file";
+  writer->Write({{path, {}, "whole"}});
+  writer->Write({{path, 5, " and more"}, {folder + "/other", 0, "x"}});
+  writer->Write({{path, 2, "!"}});
+  Await(*writer, 3);
+  EXPECT_EQ(writer->Why(), "");
+  EXPECT_EQ(Text(path), "wh!");
+  EXPECT_EQ(Text(folder + "/other"), "x");
+}
+
+TEST_F(DurableTest, NothingCountsAfterAFailure) {
+  const std::unique_ptr<DurableWriter> writer = machine.Durable();
+  writer->Write({{folder + "/a", {}, "a"}});
+  writer->Write({{folder + "/none/b", {}, "b"}});
+  writer->Write({{folder + "/c", {}, "c"}});
+  Await(*writer, 3);
+  EXPECT_EQ(writer->done(), 1u);
+  EXPECT_NE(writer->Why().find("/none/b: No such file"), std::string::npos) << writer->Why();
+  EXPECT_FALSE(std::filesystem::exists(folder + "/c"));
+}
+
+}  // namespace
+}  // namespace burlfall
--- /dev/null
+++ b/tests/council/state_test.cpp
@@ -0,0 +1,46 @@
+// The log's state, put together: saved and loaded as the same, and closed to what it does not know.
+#include "council/state.h"
+
+#include <gtest/gtest.h>
+
+namespace burlfall::council {
+namespace {
+
+owner::Command Want(const std::string& who) {
+  owner::Command command;
+  command.kind = owner::Command::Kind::kWant;
+  command.work = owner::kFreezeWork;
+  command.who = {who, 1};
+  command.request = 1;
+  return command;
+}
+
+TEST(CouncilState, SavedAndLoadedItGoesOnAsBefore) {
+  State state;
+  ASSERT_TRUE(state.Apply(4, kSecond, Envelope(Want("b1"))).known);
+  freeze::Command open;
+  open.kind = freeze::Command::Kind::kOpen;
+  open.by = "staff";
+  open.reason = "a test";
+  ASSERT_FALSE(state.Apply(5, 2 * kSecond, Envelope(open)).freeze.empty());
+  std::optional<State> loaded = State::Load(state.Save());
+  ASSERT_TRUE(loaded);
+  EXPECT_EQ(loaded->owner().EpochOf(owner::kFreezeWork), 4u);
+  EXPECT_EQ(loaded->freeze().incidents().size(), 1u);
+  EXPECT_EQ(loaded->Save(), state.Save());
+  EXPECT_EQ(loaded->Apply(6, 3 * kSecond, Envelope(Want("b2"))).owner.size(),
+            state.Apply(6, 3 * kSecond, Envelope(Want("b2"))).owner.size());
+}
+
+TEST(CouncilState, WhatItDoesNotKnowChangesNothing) {
+  State state;
+  const std::string before = state.Save();
+  for (const char* data : {"", "o", "f", "x", "oxxxx", "f\x91\x01"})
+    EXPECT_FALSE(state.Apply(1, 1, data).known);
+  EXPECT_EQ(state.Save(), before);
+  EXPECT_FALSE(State::Load("no state"));
+  EXPECT_FALSE(State::Load(before.substr(0, before.size() / 2)));
+}
+
+}  // namespace
+}  // namespace burlfall::council
