--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -87,7 +87,8 @@
 // begins anew after its majority was lost; then above each index that anybody may have seen).
 Stored FirstVoter(const Voter& self, uint64_t floor = 0);
 
-// What has to be durable. To be done in the order of the numbers: a later one may rest on an earlier.
+// What has to be durable. To be done in the order of the numbers: a later one may rest on an earlier, and
+// after one that failed none is done any more.
 struct DiskWrite {
   uint64_t number = 0;
   // These replace the term and vote on disk.
@@ -107,8 +108,10 @@
 };
 
 struct Outgoing {
-  std::string address;  // of the voter, as the log's configuration has it
-  Message message;      // message.to says who it is for
+  // Of the voter, as the log's configuration has it. Empty: an answer to one that this core's configuration
+  // does not name (a leader that feeds a new voter): it goes back where the message came from.
+  std::string address;
+  Message message;  // message.to says who it is for
 };
 
 // For the state machine, each index once and in order since Begin(): a snapshot, which replaces all state
