Freeze: a step says which way it leads; drawn commands straight into the state

Change: a question for a step says its direction and is refused where the change goes the other way; all answers tell it.

--- a/src/freeze/bytes.cpp
+++ b/src/freeze/bytes.cpp
@@ -245,7 +245,7 @@
   Put(to, command.scope);
   Put(to, command.steps);
   Put(to, command.to);
-  to.Text(command.by).Text(command.reason).Span(command.lasts).Flag(command.sight);
+  to.Text(command.by).Text(command.reason).Span(command.lasts).Flag(command.sight).Flag(command.undoing);
   // Rules are long, and only one kind has them.
   if (command.kind == Command::Kind::kRules) Put(to, command.rules);
   return to.Finish(kCommandBytes);
@@ -274,6 +274,7 @@
   command.reason = from.Text(kLongestReason);
   command.lasts = from.Span();
   command.sight = from.Flag();
+  command.undoing = from.Flag();
   if (command.kind == Command::Kind::kRules) command.rules = TakeRules(from);
   return from.Done() ? std::optional<Command>(std::move(command)) : std::nullopt;
 }
--- a/src/freeze/freeze.cpp
+++ b/src/freeze/freeze.cpp
@@ -299,6 +299,7 @@
   effect.change_kind = change.kind;
   effect.scope = change.scope;
   effect.step = change.next;
+  effect.undoing = change.undoing;
   effect.renewed = index;
   effect.lease = change.lease;
   effects.push_back(std::move(effect));
@@ -321,6 +322,7 @@
   effect.change_kind = change.kind;
   effect.scope = change.scope;
   effect.step = change.next;
+  effect.undoing = change.undoing;
   effect.renewed = index;
   effect.lease = change.lease;
   effects.push_back(std::move(effect));
@@ -416,6 +418,7 @@
     Effect effect = Answer(command);
     effect.what = Effect::What::kGranted;
     effect.step = change.grant->step;
+    effect.undoing = change.undoing;
     effect.epoch = change.grant->epoch;
     effect.position = change.grant->position;
     effect.renewed = change.grant->position;
@@ -434,8 +437,11 @@
     return;
   }
   // A question that comes late, or twice, after its grant has ended gives none anew.
-  if (command.step != next || (command.request != 0 && command.request <= change.last_request)) {
-    Refuse(command, Error::kWrongStep, effects).step = next;
+  if (command.step != next || command.undoing != change.undoing ||
+      (command.request != 0 && command.request <= change.last_request)) {
+    Effect& effect = Refuse(command, Error::kWrongStep, effects);
+    effect.step = next;
+    effect.undoing = change.undoing;
     return;
   }
   if (!faults_.grants_in_incident && !Passes(change, command, effects)) return;
@@ -575,8 +581,12 @@
         incident.sight != command.sight) {
       continue;
     }
-    incident.until = until;
-    incident.renewed = index;
+    // Another's word makes it longer, never shorter.
+    const bool longer = incident.until != 0 && (until == 0 || until > incident.until);
+    if (longer || command.by == incident.by) {
+      incident.until = until;
+      incident.renewed = index;
+    }
     opened(incident);
     if (incident.yes) Yes(incident, command.request, effects);
     return;
--- a/src/freeze/freeze.h
+++ b/src/freeze/freeze.h
@@ -84,6 +84,7 @@
   std::string reason;
   Micros lasts = 0;
   bool sight = false;
+  bool undoing = false;  // kStep: the asker takes it for a step back; what is not so is refused
   Rules rules;
 };
 std::string Write(const Command& command);
@@ -125,6 +126,7 @@
   Micros retry = 0;
   Error error = Error::kNone;
   bool sight = false;
+  bool undoing = false;  // of the change: its steps lead back
   End end = End::kOpen;
   UnderWay how = UnderWay::kFinish;
   ChangeKind change_kind = ChangeKind::kReload;
--- a/src/freeze/sights.cpp
+++ b/src/freeze/sights.cpp
@@ -66,11 +66,13 @@
 
 void Sights::Applied(Micros now, const Effect& effect) {
   if (effect.what == Effect::What::kOpened) {
-    const auto at = seen_.find({effect.incident_kind, effect.scope});
-    if (at == seen_.end() || !effect.sight) return;
-    at->second.incident = effect.incident;
-    at->second.confirmed = now;
-    at->second.proposed = -1;
+    if (!effect.sight || (seen_.size() >= most_ && !seen_.contains({effect.incident_kind, effect.scope})))
+      return;
+    // Also where it has gone since it was proposed: somebody has to close it.
+    Seen& seen = seen_[{effect.incident_kind, effect.scope}];
+    seen.incident = effect.incident;
+    seen.confirmed = now;
+    seen.proposed = -1;
   } else if (effect.what == Effect::What::kIncidentOver) {
     for (auto at = seen_.begin(); at != seen_.end(); ++at) {
       if (at->second.incident != effect.incident) continue;
--- a/src/lab/council_judge/play_freeze.cpp
+++ b/src/lab/council_judge/play_freeze.cpp
@@ -387,14 +387,9 @@
       case Effect::What::kKept:
         if (own) hand.permit.Heard(since, effect);
         if (hand.change != effect.change) return;
-        if (hand.phase == Phase::kTaking) {
-          const auto change = state_.changes().find(hand.change);
-          if (change == state_.changes().end()) return Drop(hand);
-          hand.next = change->second.undoing ? change->second.next - 1 : change->second.next;
-          hand.undoing = change->second.undoing;
-          Between(i);
-        } else if (answers && (hand.phase == Phase::kTelling || hand.phase == Phase::kUndoing)) {
-          hand.undoing = hand.undoing || hand.phase == Phase::kUndoing;
+        if (hand.phase == Phase::kTaking ||
+            (answers && (hand.phase == Phase::kTelling || hand.phase == Phase::kUndoing))) {
+          hand.undoing = effect.undoing;
           hand.next = hand.undoing ? effect.step - 1 : effect.step;
           Between(i);
         }
@@ -468,6 +463,7 @@
         // By name and reason.
         Command command = OfChange(hand, Command::Kind::kStep);
         command.step = hand.next;
+        command.undoing = hand.undoing;
         command.by = "anna";
         command.reason = "it is the way out";
         Say(i, command);
@@ -482,7 +478,10 @@
     }
     if (effect.error == Error::kUnknownChange || effect.error == Error::kNotOwner) return Drop(hand);
     if (effect.error == Error::kHandedOver) hand.let_go = true;
-    if (effect.error == Error::kWrongStep) hand.next = effect.step;
+    if (effect.error == Error::kWrongStep) {
+      hand.next = effect.step;
+      hand.undoing = effect.undoing;
+    }
     Between(i);
     hand.act_at += 300 * kMs;
   }
@@ -650,6 +649,7 @@
         }
         Command command = OfChange(hand, Command::Kind::kStep);
         command.step = hand.next;
+        command.undoing = hand.undoing;
         hand.phase = Phase::kAskingStep;
         Say(i, command);
         return;
@@ -672,6 +672,16 @@
   void TickOpener(size_t i) {
     Opener& opener = openers_[i];
     time_.After(kTick, [this, i] { TickOpener(i); });
+    if (quiet_ && !state_.incidents().empty()) {
+      // Those whose opener has gone are closed by somebody else.
+      Command command;
+      command.kind = Command::Kind::kClose;
+      command.incident = state_.incidents().begin()->first;
+      command.by = "anna";
+      command.reason = "over";
+      Apply(command);
+      return;
+    }
     if (!opener.open) {
       if (quiet_ || !time_.Chance(0.01)) return;
       opener.open = true;
--- a/tests/freeze/freeze_test.cpp
+++ b/tests/freeze/freeze_test.cpp
@@ -46,6 +46,8 @@
   Command MakeStep(const Who& who, uint64_t change, uint32_t step = 0) {
     Command command = Make(Kind::kStep, who, change);
     command.step = step;
+    const auto known = state_.changes().find(change);
+    command.undoing = known != state_.changes().end() && known->second.undoing;
     return command;
   }
   // The grant's epoch.
@@ -323,6 +325,9 @@
             Error::kNotOwner);
   // What the old one may have begun is led back as well.
   Do(Make(Kind::kUndo, kB, id));
+  Command forward = MakeStep(kB, id);
+  forward.undoing = false;
+  EXPECT_EQ(Refused(forward), Error::kWrongStep);  // it would be carried out the wrong way round
   EXPECT_EQ(Done(kB, id, Grant(kB, id, 0)).back().end, End::kUndone);
 }
 
