--- /dev/null
+++ b/src/ejection/evidence.h
@@ -0,0 +1,110 @@
+// What one balancer's own queries say of its hosts, and what it tells the council of it: votes, good words,
+// and their withdrawal. It reads results and changes nothing of the decision module. Time goes in on the
+// balancer's own clock.
+//
+// Unasked, it votes only where it is sure: at least `least_trials` since the first failure, and the odds of
+// "fails at bad_share or more" against "fails as the others of its group and class" past `sure`. In question
+// (two balancers were sure), each tells at once what it has seen since: failed at all, or good. That way the
+// log is quiet, and balancers with little traffic count.
+#ifndef BURLFALL_EJECTION_EVIDENCE_H_
+#define BURLFALL_EJECTION_EVIDENCE_H_
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "ejection/rules.h"
+#include "ejection/state.h"
+#include "io/time.h"
+
+namespace burlfall::ejection {
+
+class Evidence {
+ public:
+  Evidence(Rules rules, std::string balancer, std::string zone)
+      : rules_(rules), balancer_(std::move(balancer)), zone_(std::move(zone)) {}
+
+  // A query's end at a host. `failed` none: an answer; it may still be slow, by `took`, against the others.
+  // Refused by the host's admission, cancelled, or the client left: no result, don't tell it.
+  void Result(Micros now, const std::string& host, Life life, uint32_t cls, std::optional<Kind> failed,
+              Micros took);
+  // The end of a query that this balancer sent since it was told to try (InForce::TakeTry). Gives kTrial.
+  Command Trial(const std::string& host, Life life, std::optional<Kind> failed) const;
+
+  // From the log: the effects kAsk, kAsked, kEject, kBack are read, the others passed over.
+  void Heard(Micros now, const Effects& effects);
+  // From a snapshot.
+  void Begin(Micros now, const State& state);
+  // What the module knows, read: it lets the host sleep, so silence of results is no good word.
+  void Asleep(const std::string& host, bool asleep);
+  void Gone(const std::string& host);  // from the group
+
+  // What to propose now; nothing for most calls. A vote that the council didn't take is told again before its
+  // end.
+  std::vector<Command> Tell(Micros now);
+  // Tell() may have something at that time; kNever: not before the next result or effect.
+  Micros next_at() const;
+
+  bool OwnNetwork(Micros now) const;  // under suspicion by itself: most of all fails
+  size_t hosts() const { return hosts_.size(); }
+
+ private:
+  struct Bucket {
+    Micros begin = 0;
+    uint32_t trials = 0;
+    uint32_t after = 0;  // of them from the first failure in it on
+    std::array<uint32_t, kKinds> failures{};
+    uint32_t Failed() const { return failures[0] + failures[1] + failures[2] + failures[3]; }
+  };
+  using Ring = std::deque<Bucket>;
+  struct Sum {
+    uint32_t trials = 0;
+    uint32_t failed = 0;
+    uint32_t since = 0;        // trials from the first failure on
+    Micros first_failure = 0;  // begin of its bucket
+    std::array<uint32_t, kKinds> failures{};
+  };
+  enum class Said { kNothing, kVote, kSure, kGood };
+  struct Seen {
+    Life life = 0;
+    std::map<uint32_t, Ring> classes;
+    Micros used = 0;        // last result
+    Micros deaf_until = 0;  // grace
+    bool asked = false;
+    Micros asked_at = 0;
+    uint32_t good_since = 0;  // results since the question (and a little before), none failed
+    uint32_t failed_since = 0;
+    uint32_t class_since = kSeveralClasses;
+    bool out = false;
+    bool asleep = false;
+    bool changed = false;
+    Said said = Said::kNothing;
+    Micros said_until = 0;
+  };
+  struct OfClass {
+    Ring all;
+    std::array<uint32_t, 40> took{};  // by half powers of two of milliseconds, halved now and then
+    uint32_t tooks = 0;
+  };
+
+  Bucket& In(Ring& ring, Micros now) const;
+  Sum SumOf(const Ring& ring, Micros now) const;
+  bool IsSlow(const OfClass& of, Micros took) const;
+  Said Judge(Micros now, const Seen& seen, Vote& vote) const;
+  void Clear(Seen& seen);
+
+  Rules rules_;
+  std::string balancer_;
+  std::string zone_;
+  std::map<std::string, Seen> hosts_;
+  std::map<uint32_t, OfClass> classes_;
+  std::vector<std::string> changed_;  // hosts to be judged at the next Tell
+};
+
+}  // namespace burlfall::ejection
+
+#endif  // BURLFALL_EJECTION_EVIDENCE_H_
--- /dev/null
+++ b/src/ejection/state.h
@@ -0,0 +1,330 @@
+// The votes of the fleet, the ejections in force and their terms: one state in the council's log, computed
+// alike at each member from the entries and from their stamped times (council time, which never goes back).
+// No I/O, no clock, no chance.
+//
+// Votes change nothing by themselves. The owner of the count proposes kCount (and kHosts, the group as it
+// sees it), each with its epoch; an older epoch than one that was seen is refused. So without a council or an
+// owner nothing new is ejected. Terms end by the stamps: kRunOut, proposed by the leader when next_at() has
+// come.
+#ifndef BURLFALL_EJECTION_STATE_H_
+#define BURLFALL_EJECTION_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "ejection/rules.h"
+#include "io/time.h"
+
+namespace burlfall::ejection {
+
+constexpr uint32_t kSeveralClasses = 0xffff;  // where more than one fails
+
+// A balancer's word that a host is bad, from its own queries alone.
+struct Vote {
+  std::string balancer;
+  std::string zone;  // of the balancer
+  std::string host;
+  Life life = 0;        // of the host
+  Micros window = 0;    // span from the first failure to the telling, on the balancer's clock
+  uint32_t trials = 0;  // from that failure on, it included
+  uint32_t failures = 0;
+  Kind kind = Kind::kErrors;       // most of them
+  uint32_t cls = kSeveralClasses;  // that fails
+  bool sure = false;               // by itself; the others only answer a question
+  Micros lasts = 0;                // from its entry on; the rules' vote_lasts at most
+};
+
+// A balancer's word that a host in question is good.
+struct Good {
+  std::string balancer;
+  std::string zone;
+  std::string host;
+  Life life = 0;
+  uint32_t trials = 0;  // since the question, none of them a failure
+  uint32_t cls = kSeveralClasses;
+  Micros lasts = 0;
+};
+
+struct Host {
+  std::string name;
+  std::string zone;
+  Life life = 0;
+  bool draining = false;
+  bool by_hand = false;   // out by an operator's list
+  uint32_t capacity = 1;  // in any unit, the same for the group
+};
+
+struct Balancer {
+  std::string name;
+  std::string zone;
+  std::vector<std::string> hosts;  // that it uses; empty: all of the group
+};
+
+// The host group as the owner of the count sees it.
+struct Group {
+  std::vector<Host> hosts;
+  std::vector<Balancer> balancers;
+  double used = 0;  // of the group's capacity, 0 to 1: the work that there is
+};
+
+enum class Operator : uint8_t { kEnd, kForbid, kExtend, kAllow };
+const char* NameOf(Operator what);
+
+struct Command {
+  enum class What : uint8_t {
+    kVote,      // vote
+    kWithdraw,  // balancer, host, life: its vote or its good word
+    kGood,      // good
+    kRunOut,    // nothing: time has come
+    kTrial,     // balancer, host, life, was_good: of one that was told to try
+    kOperator,  // operation, host, span, who, reason
+    kHosts,     // epoch, group
+    kCount,     // epoch: count the votes now
+  };
+  What what = What::kRunOut;
+  Vote vote;
+  Good good;
+  std::string balancer;
+  std::string host;
+  Life life = 0;
+  bool was_good = false;
+  Operator operation = Operator::kEnd;
+  Micros span = 0;  // kExtend: from the end of the term; kForbid: 0 until kAllow
+  std::string who;  // an operator's name
+  std::string reason;
+  uint64_t epoch = 0;
+  Group group;
+};
+constexpr size_t kLargestCommand = 8 << 20;  // bytes
+std::string Write(const Command& command);
+// Nothing where the bytes are not a command, or damaged, or past a bound.
+std::optional<Command> ReadCommand(std::string_view bytes);
+
+// Why something was refused. What an operator can do is in AdviceOf().
+enum class Refusal : uint8_t {
+  kNone,
+  kFenced,  // an older epoch of the count
+  kUnknownHost,
+  kUnknownBalancer,  // that doesn't use the host, or is not in the group
+  kOtherZone,        // a vote with a zone that is not its balancer's
+  kOldLife,          // of the host
+  kCantBe,           // its numbers
+  kTooMany,          // entries or votes of one balancer
+  kInGrace,
+  kNotTold,  // a trial by a balancer that wasn't told to try
+  kNotEjected,
+  kTooLong,  // an operator's span
+};
+const char* NameOf(Refusal refusal);
+const char* AdviceOf(Refusal refusal);
+
+// Why a host that has its votes is not ejected.
+enum class Held : uint8_t { kNone, kGroupCap, kZoneCap, kWork, kLastOfGroup, kLastOfZone, kMany, kForbidden };
+const char* NameOf(Held held);
+
+enum class Over : uint8_t {
+  kTrialGood,
+  kNoTrial,  // nobody tried in time
+  kOperator,
+  kByHand,  // it is out by the operators' list now
+  kNewLife,
+  kGone,    // from the group
+  kDrains,  // its term ended while it drains
+};
+const char* NameOf(Over over);
+
+struct Effect {
+  enum class What : uint8_t {
+    kAsk,       // host, life: in question, who has seen it says what it saw (Evidence::Asked)
+    kAsked,     // host, life: the question is closed
+    kEject,     // host, life, term, kind, voters: nothing new goes there; also when the term begins again
+    kTry,       // host, life, who: these send it one real query each, and tell kTrial
+    kBack,      // host, life, over
+    kPath,      // host, zone: bad from this zone alone; told once while it is so
+    kClass,     // host, cls: bad for this class alone; likewise
+    kSuspect,   // who[0]: its votes don't count
+    kCleared,   // who[0]: they do again
+    kHeld,      // host, held: it has its votes, and is not ejected; told once for each reason
+    kIncident,  // hosts: many at once, none is ejected; to open at `freeze`
+    kIncidentOver,
+    kRefused,  // who[0], host, refusal
+  };
+  What what = What::kRefused;
+  std::string host;
+  Life life = 0;
+  Micros term = 0;
+  Kind kind = Kind::kErrors;
+  uint32_t cls = kSeveralClasses;
+  std::string zone;
+  std::vector<std::string> who;    // balancers: voters, those to try, the suspect, the refused
+  std::vector<std::string> hosts;  // of an incident
+  Over over = Over::kTrialGood;
+  Held held = Held::kNone;
+  Refusal refusal = Refusal::kNone;
+};
+using Effects = std::vector<Effect>;
+
+// One host's ejection, or what is remembered of its last one.
+struct Ejection {
+  enum class Phase : uint8_t { kBack, kOut, kTryOne, kTryFew };
+  Phase phase = Phase::kBack;
+  Life life = 0;
+  uint64_t index = 0;  // of the entry that began it: its number
+  Micros since = 0;    // council time of the ejection, or of the return
+  Micros until = 0;    // of the phase
+  Micros term = 0;     // for the next relapse to double: what was served, or less after a good trial
+  Micros served = 0;   // the last term
+  Micros lost_at = 0;  // by vote or by a bad trial
+  uint32_t tries = 0;  // told since the ejection
+  Kind kind = Kind::kErrors;
+  double share = 1;  // of failures, as the votes had it
+  std::vector<std::string> voters;
+  std::vector<std::string> triers;
+  bool out() const { return phase != Phase::kBack; }
+};
+
+class State {
+ public:
+  explicit State(Rules rules) : rules_(rules) {}
+
+  // `index` of the entry in the log, `at` its stamp. A lower index than the last is passed over, a lower
+  // stamp counts as the last.
+  Effects Apply(uint64_t index, Micros at, const Command& command);
+
+  // Council time at which the leader proposes kRunOut, and the owner kCount, if nothing else comes before.
+  // kNever: nothing waits for time.
+  Micros next_at() const;
+  // There is something to count since the last kCount, or a question whose time to listen ends by `at`.
+  bool ToCount(Micros at) const;
+
+  std::string Save() const;
+  // Nothing where the bytes are not a state's, damaged, or past a bound. The rules are not in it.
+  static std::optional<State> Load(std::string_view bytes, const Rules& rules);
+
+  uint64_t index() const { return index_; }
+  uint64_t epoch() const { return epoch_; }  // highest seen of the count
+  Micros at() const { return at_; }
+  bool incident() const { return incident_; }
+  // By host: those out, and those that were and whose term is remembered.
+  const std::map<std::string, Ejection>& ejections() const { return ejections_; }
+  const std::set<std::string>& suspects() const { return suspects_; }
+  std::vector<std::string> InQuestion() const;
+  std::vector<Vote> VotesAgainst(const std::string& host) const;  // standing
+  std::vector<Good> GoodsFor(const std::string& host) const;      // standing
+  struct Forbidden {
+    std::string who;
+    std::string reason;
+    Micros until = kNever;
+  };
+  const std::map<std::string, Forbidden>& forbidden() const { return forbidden_; }
+  bool Knows(const std::string& host) const { return hosts_.contains(host); }
+
+ private:
+  struct KnownHost {
+    Host host;
+    Micros appeared = 0;
+  };
+  struct KnownBalancer {
+    std::string zone;
+    std::set<std::string> hosts;  // empty: all
+    uint32_t entries = 0;         // in the span that began at `since`
+    Micros since = 0;
+    bool told = false;  // that it is refused for its number of entries
+  };
+  struct Word {  // a vote or a good word
+    Vote vote;   // for a good word: who, trials, class; failures 0
+    Micros until = 0;
+  };
+  struct Case {                         // of a host, while there are votes
+    std::map<std::string, Word> votes;  // by balancer
+    std::map<std::string, Word> goods;
+    bool asked = false;
+    Micros asked_at = 0;
+    std::string told_path;
+    bool told_class = false;
+    Held told_held = Held::kNone;
+  };
+  struct Count;  // of one case
+
+  Refusal Check(const std::string& balancer, const std::string& zone, const std::string& host, Life life,
+                Micros at);
+  Refusal TakeVote(const Vote& vote);
+  Refusal TakeGood(const Good& good);
+  Refusal TakeTrial(const Command& command, Effects& effects);
+  Refusal TakeOperator(const Command& command, Effects& effects);
+  void TakeHosts(const Group& group, Effects& effects);
+  void RunOut(Effects& effects);
+  void Ask(Effects& effects);
+  void Suspect(Effects& effects);
+  void CountAll(Effects& effects);
+  Count CountOne(const std::string& host, const Case& one, bool with_suspects) const;
+  Held HeldBack(const std::string& host) const;
+  void Eject(const std::string& host, const Count& count, Effects& effects);
+  void LoseAgain(const std::string& host, Ejection& ejection, Effects& effects);
+  void Return(const std::string& host, Over over, Effects& effects);
+  void Try(const std::string& host, Ejection& ejection, Effects& effects);
+  void Close(const std::string& host, Effects& effects);
+  bool Uses(const KnownBalancer& balancer, const std::string& host) const;
+  size_t ZonesUsing(const std::string& host) const;
+  std::set<std::string> Accused(bool by_unsuspected) const;
+  size_t GroupCap() const;
+
+  Rules rules_;
+  uint64_t index_ = 0;
+  uint64_t epoch_ = 0;
+  Micros at_ = 0;
+  bool dirty_ = false;  // something to count
+  bool incident_ = false;
+  Micros calm_since_ = kNever;
+  double used_ = 0;
+  std::map<std::string, KnownHost> hosts_;
+  std::map<std::string, KnownBalancer> balancers_;
+  std::map<std::string, Case> cases_;
+  std::map<std::string, Ejection> ejections_;
+  std::map<std::string, Forbidden> forbidden_;
+  std::set<std::string> suspects_;
+};
+
+// What is in force at one balancer: the hosts that get nothing new beside those out by hand. It follows the
+// log's effects, never goes back in it, and counts terms on the balancer's own clock, so that each ejection
+// ends also where no council is heard any more.
+class InForce {
+ public:
+  explicit InForce(Rules rules) : rules_(rules) {}
+
+  // Effects of the entry at `index`, `now` on the balancer's clock. False: that entry, or a later one, was
+  // applied before; nothing is changed.
+  bool Apply(uint64_t index, Micros now, const Effects& effects, const std::string& self);
+  // From a snapshot: its ejections, with what is left of their terms by council time. False likewise.
+  bool Begin(Micros now, const State& state, const std::string& self);
+  // Those whose time is over are taken off, on this clock alone. Tells which.
+  std::vector<std::string> Tick(Micros now);
+  Micros next_at() const;
+
+  // Nothing new goes to `host` in this life; a newer one is not ejected.
+  bool Out(const std::string& host, Life life) const;
+  // This balancer was told to try it: one real query may go there. The next is refused until told anew.
+  bool TakeTry(const std::string& host, Life life);
+  bool ToTry(const std::string& host, Life life) const;
+  std::map<std::string, Life> hosts() const;
+  uint64_t index() const { return index_; }
+
+ private:
+  struct One {
+    Life life = 0;
+    Micros until = 0;  // own clock: the term and the time for trials
+    bool may_try = false;
+  };
+  Rules rules_;
+  uint64_t index_ = 0;
+  std::map<std::string, One> out_;
+};
+
+}  // namespace burlfall::ejection
+
+#endif  // BURLFALL_EJECTION_STATE_H_
