--- a/src/ejection/evidence.h
+++ b/src/ejection/evidence.h
@@ -56,7 +56,6 @@
   struct Bucket {
     Micros begin = 0;
     uint32_t trials = 0;
-    uint32_t after = 0;  // of them from the first failure in it on
     std::array<uint32_t, kKinds> failures{};
     uint32_t Failed() const { return failures[0] + failures[1] + failures[2] + failures[3]; }
   };
@@ -64,9 +63,10 @@
   struct Sum {
     uint32_t trials = 0;
     uint32_t failed = 0;
-    uint32_t since = 0;        // trials from the first failure on
-    Micros first_failure = 0;  // begin of its bucket
+    Micros since = 0;  // begin of its first bucket
     std::array<uint32_t, kKinds> failures{};
+    double odds = 0;  // logarithm, bad : as the others
+    void Add(const Bucket& bucket);
   };
   enum class Said { kNothing, kVote, kSure, kGood };
   struct Seen {
@@ -76,14 +76,12 @@
     Micros deaf_until = 0;  // grace
     bool asked = false;
     Micros asked_at = 0;
-    uint32_t good_since = 0;  // results since the question (and a little before), none failed
-    uint32_t failed_since = 0;
-    uint32_t class_since = kSeveralClasses;
     bool out = false;
     bool asleep = false;
     bool changed = false;
     Said said = Said::kNothing;
     Micros said_until = 0;
+    uint32_t said_trials = 0;
   };
   struct OfClass {
     Ring all;
@@ -92,10 +90,20 @@
   };
 
   Bucket& In(Ring& ring, Micros now) const;
-  Sum SumOf(const Ring& ring, Micros now) const;
+  Sum SumOf(const Ring& ring, Micros since) const;
+  // What speaks most for "bad" of all spans that end now, and begin at `since` or later.
+  Sum WorstOf(const Ring& ring, Micros since, double usual) const;
+  double OddsOf(const Bucket& bucket, double usual) const;
   bool IsSlow(const OfClass& of, Micros took) const;
-  Said Judge(Micros now, const Seen& seen, Vote& vote) const;
-  void Clear(Seen& seen);
+  bool OthersFail(Micros now, const Seen& seen) const;
+  struct Opinion {
+    Said said = Said::kNothing;
+    Sum sum;
+    uint32_t cls = kSeveralClasses;
+  };
+  Opinion Judge(Micros now, const Seen& seen) const;
+  void Mark(const std::string& host, Seen& seen);
+  static void Clear(Seen& seen);
 
   Rules rules_;
   std::string balancer_;
--- a/src/ejection/rules.h
+++ b/src/ejection/rules.h
@@ -23,7 +23,7 @@
 struct Rules {
   // A balancer's evidence.
   Micros window = 30 * kSecond;      // of results that speak
-  uint32_t buckets = 10;             // that the window is kept in; a result goes with its bucket
+  uint32_t buckets = 30;             // that the window is kept in, the empty ones not
   uint32_t least_trials = 2;         // of a host, before anything is said of it unasked
   double bad_share = 0.3;            // of failures: what a host is held against
   double usual_share = 0.01;         // of failures of the others, at least, so that luck makes no vote
@@ -37,12 +37,14 @@
   size_t most_classes = 16;          // of a host; others are counted as the last
 
   // The count.
-  uint32_t sure_to_ask = 2;     // voters that are sure open the question; then all tell what they saw
-  Micros listen = 1 * kSecond;  // from the question to the first count
-  uint32_t voters_least = 3;    // distinct balancers
-  uint32_t zones_least = 2;     // of voters, where as many use the host
-  uint32_t suspect_least = 4;   // hosts that one balancer votes against: suspect, where it is also
-  double suspect_share = 0.05;  // so much of the group
+  uint32_t sure_to_ask = 2;           // voters that are sure open the question; then all tell what they saw
+  Micros listen = 1 * kSecond;        // from the question to the first count
+  Micros ask_back = 3 * kSecond;      // before the question, at most, results are asked for as well
+  Micros relapse_ask = 10 * kSecond;  // after a return, grace first, all tell unasked for so long
+  uint32_t voters_least = 3;          // distinct balancers
+  uint32_t zones_least = 2;           // of voters, where as many use the host
+  uint32_t suspect_least = 4;   // hosts that one balancer votes against: suspect, where it is also more than
+  double suspect_share = 0.1;   // this share of the hosts
   size_t most_votes = 64;       // standing, of one balancer; more are refused
   uint32_t most_entries = 200;  // of one balancer in a window; more are refused
   uint32_t most_rate = 2000;    // results a second of one host at one balancer: more can't be
--- a/src/ejection/state.h
+++ b/src/ejection/state.h
@@ -140,7 +140,7 @@
 
 struct Effect {
   enum class What : uint8_t {
-    kAsk,       // host, life: in question, who has seen it says what it saw (Evidence::Asked)
+    kAsk,       // host, life, term: in question; who has seen it in the last `term` says what it saw
     kAsked,     // host, life: the question is closed
     kEject,     // host, life, term, kind, voters: nothing new goes there; also when the term begins again
     kTry,       // host, life, who: these send it one real query each, and tell kTrial
@@ -234,7 +234,8 @@
     std::set<std::string> hosts;  // empty: all
     uint32_t entries = 0;         // in the span that began at `since`
     Micros since = 0;
-    bool told = false;  // that it is refused for its number of entries
+    uint32_t against = 0;  // hosts: its votes that stand
+    bool told = false;     // that it is refused for its number of entries
   };
   struct Word {  // a vote or a good word
     Vote vote;   // for a good word: who, trials, class; failures 0
@@ -245,43 +246,57 @@
     std::map<std::string, Word> goods;
     bool asked = false;
     Micros asked_at = 0;
+    Micros asked_until = 0;  // at least, though nobody is sure
     std::string told_path;
     bool told_class = false;
     Held told_held = Held::kNone;
   };
-  struct Count;  // of one case
+  struct Count {  // of one case
+    std::vector<std::string> voters;
+    std::set<std::string> zones;
+    double goods = 0;        // each by how much it speaks against the votes
+    double other_goods = 0;  // of them, of classes that nobody votes for
+    double share = 1;        // of failures after each voter's first
+    Kind kind = Kind::kErrors;
+    uint32_t cls = kSeveralClasses;
+  };
 
-  Refusal Check(const std::string& balancer, const std::string& zone, const std::string& host, Life life,
-                Micros at);
+  Refusal Check(const std::string& balancer, const std::string& host, Life life);
   Refusal TakeVote(const Vote& vote);
   Refusal TakeGood(const Good& good);
   Refusal TakeTrial(const Command& command, Effects& effects);
   Refusal TakeOperator(const Command& command, Effects& effects);
+  bool TakeEpoch(uint64_t epoch);
   void TakeHosts(const Group& group, Effects& effects);
   void RunOut(Effects& effects);
-  void Ask(Effects& effects);
   void Suspect(Effects& effects);
+  void Ask(Effects& effects);
   void CountAll(Effects& effects);
-  Count CountOne(const std::string& host, const Case& one, bool with_suspects) const;
+  Count CountOne(const std::string& host, const Case& one) const;
+  bool MeetsVotes(const std::string& host, Case& one, const Count& count, Effects& effects) const;
+  bool Many() const;
   Held HeldBack(const std::string& host) const;
   void Eject(const std::string& host, const Count& count, Effects& effects);
-  void LoseAgain(const std::string& host, Ejection& ejection, Effects& effects);
   void Return(const std::string& host, Over over, Effects& effects);
-  void Try(const std::string& host, Ejection& ejection, Effects& effects);
+  void Try(const std::string& host, Ejection& ejection, size_t most, Effects& effects);
+  void DropWord(Case& one, const std::string& key);
   void Close(const std::string& host, Effects& effects);
+  bool InGrace(const std::string& host) const;
   bool Uses(const KnownBalancer& balancer, const std::string& host) const;
   size_t ZonesUsing(const std::string& host) const;
-  std::set<std::string> Accused(bool by_unsuspected) const;
+  size_t SureOf(const Case& one) const;
   size_t GroupCap() const;
 
   Rules rules_;
   uint64_t index_ = 0;
   uint64_t epoch_ = 0;
   Micros at_ = 0;
-  bool dirty_ = false;  // something to count
+  uint64_t owner_index_ = 0;  // at which its epoch was first seen
+  bool dirty_ = false;        // something to count
   bool incident_ = false;
   Micros calm_since_ = kNever;
   double used_ = 0;
+  bool grouped_ = false;  // a group was told
   std::map<std::string, KnownHost> hosts_;
   std::map<std::string, KnownBalancer> balancers_;
   std::map<std::string, Case> cases_;
