--- a/src/ejection/evidence.h
+++ b/src/ejection/evidence.h
@@ -11,7 +11,6 @@
 
 #include <array>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -59,7 +58,7 @@
     std::array<uint32_t, kKinds> failures{};
     uint32_t Failed() const { return failures[0] + failures[1] + failures[2] + failures[3]; }
   };
-  using Ring = std::deque<Bucket>;
+  using Ring = std::vector<Bucket>;
   struct Sum {
     uint32_t trials = 0;
     uint32_t failed = 0;
--- /dev/null
+++ b/src/ejection/names.cpp
@@ -0,0 +1,150 @@
+#include "ejection/state.h"
+
+namespace burlfall::ejection {
+
+const std::string& SenderOf(const Command& command) {
+  switch (command.what) {
+    case Command::What::kVote:
+      return command.vote.balancer;
+    case Command::What::kGood:
+      return command.good.balancer;
+    case Command::What::kOperator:
+      return command.who;
+    default:
+      return command.balancer;
+  }
+}
+
+const char* NameOf(Kind kind) {
+  switch (kind) {
+    case Kind::kSilent:
+      return "silent";
+    case Kind::kErrors:
+      return "errors";
+    case Kind::kSlow:
+      return "slow";
+    case Kind::kSpoilt:
+      return "spoilt";
+  }
+  return "?";
+}
+
+const char* NameOf(Operator what) {
+  switch (what) {
+    case Operator::kEnd:
+      return "end";
+    case Operator::kForbid:
+      return "forbid";
+    case Operator::kExtend:
+      return "extend";
+    case Operator::kAllow:
+      return "allow";
+  }
+  return "?";
+}
+
+const char* NameOf(Refusal refusal) {
+  switch (refusal) {
+    case Refusal::kNone:
+      return "none";
+    case Refusal::kFenced:
+      return "fenced";
+    case Refusal::kUnknownHost:
+      return "host unknown";
+    case Refusal::kUnknownBalancer:
+      return "balancer unknown";
+    case Refusal::kOtherZone:
+      return "another zone";
+    case Refusal::kOldLife:
+      return "another life";
+    case Refusal::kCantBe:
+      return "numbers that can't be";
+    case Refusal::kTooMany:
+      return "too many";
+    case Refusal::kInGrace:
+      return "in grace";
+    case Refusal::kNotTold:
+      return "not told to try";
+    case Refusal::kNotEjected:
+      return "not ejected";
+    case Refusal::kTooLong:
+      return "too long";
+  }
+  return "?";
+}
+
+const char* AdviceOf(Refusal refusal) {
+  switch (refusal) {
+    case Refusal::kNone:
+      return "nothing to do";
+    case Refusal::kFenced:
+      return "another owner counts now; nothing to do, unless it comes again and again";
+    case Refusal::kUnknownHost:
+      return "see that the host is in the group's list, and spelled as there";
+    case Refusal::kUnknownBalancer:
+      return "see that this balancer is a member and uses the host";
+    case Refusal::kOtherZone:
+      return "see the zone in this balancer's configuration: the council has another";
+    case Refusal::kOldLife:
+      return "the host has been restarted, or one list is older; nothing to do";
+    case Refusal::kCantBe:
+      return "this balancer tells nonsense: take it out, and keep its log";
+    case Refusal::kTooMany:
+      return "this balancer tells too much: see its network, then its log";
+    case Refusal::kInGrace:
+      return "the host has just come; nothing to do";
+    case Refusal::kNotTold:
+      return "nothing to do, unless it comes again and again: then see that balancer's log";
+    case Refusal::kNotEjected:
+      return "see which hosts are ejected: burlfall council status";
+    case Refusal::kTooLong:
+      return "take the host out by hand instead; that has no end of its own";
+  }
+  return "?";
+}
+
+const char* NameOf(Held held) {
+  switch (held) {
+    case Held::kNone:
+      return "none";
+    case Held::kGroupCap:
+      return "cap of the group";
+    case Held::kZoneCap:
+      return "cap of the zone";
+    case Held::kWork:
+      return "the rest can't carry the work";
+    case Held::kLastOfGroup:
+      return "last of its group";
+    case Held::kLastOfZone:
+      return "last of its zone";
+    case Held::kMany:
+      return "many at once";
+    case Held::kForbidden:
+      return "forbidden by an operator";
+  }
+  return "?";
+}
+
+const char* NameOf(Over over) {
+  switch (over) {
+    case Over::kTrialGood:
+      return "a good trial";
+    case Over::kNoTrial:
+      return "nobody tried in time";
+    case Over::kOperator:
+      return "an operator";
+    case Over::kByHand:
+      return "out by hand";
+    case Over::kNewLife:
+      return "a new life";
+    case Over::kGone:
+      return "gone from the group";
+    case Over::kDrains:
+      return "it drains";
+    case Over::kCap:
+      return "the group became smaller";
+  }
+  return "?";
+}
+
+}  // namespace burlfall::ejection
--- a/src/ejection/state.h
+++ b/src/ejection/state.h
@@ -100,6 +100,8 @@
   uint64_t epoch = 0;
   Group group;
 };
+// Whose word it is: the carrier lets a balancer propose its own alone. Empty: the owner's or the leader's.
+const std::string& SenderOf(const Command& command);
 constexpr size_t kLargestCommand = 8 << 20;  // bytes
 std::string Write(const Command& command);
 // Nothing where the bytes are not a command, or damaged, or past a bound.
@@ -135,6 +137,7 @@
   kNewLife,
   kGone,    // from the group
   kDrains,  // its term ended while it drains
+  kCap,     // the group became smaller, or its work more
 };
 const char* NameOf(Over over);
 
