--- /dev/null
+++ b/src/lab/ejection_world/judge.cpp
@@ -0,0 +1,191 @@
+#include "lab/ejection_world/judge.h"
+
+#include <algorithm>
+
+namespace burlfall::ejection_world {
+namespace {
+
+using ejection::Group;
+
+const ejection::Host* Find(const Group& group, const std::string& name) {
+  const auto at = std::ranges::find(group.hosts, name, &ejection::Host::name);
+  return at == group.hosts.end() ? nullptr : &*at;
+}
+
+bool Uses(const ejection::Balancer& balancer, const std::string& host) {
+  return balancer.hosts.empty() || std::ranges::find(balancer.hosts, host) != balancer.hosts.end();
+}
+
+size_t CapOf(double share, size_t of) {
+  return std::max<size_t>(1, static_cast<size_t>(share * static_cast<double>(of) + 1e-9));
+}
+
+}  // namespace
+
+void Judge::Broken(Micros at, const std::string& what) {
+  if (broken_.size() < 100) broken_.push_back(std::to_string(at / kMs) + " ms: " + what);
+}
+
+bool Judge::CanBe(const Said& said) const {
+  const ejection::Vote& vote = said.vote;
+  return vote.failures >= 1 && vote.failures <= vote.trials && vote.window >= 0 &&
+         vote.window <= rules_.window + kSecond && vote.lasts <= rules_.vote_lasts;
+}
+
+void Judge::CheckVotes(const Event& out) {
+  // Whoever accuses many is no witness: counted over all that it said and did not take back.
+  std::map<std::string, size_t> against;
+  for (const auto& [host, said] : votes_) {
+    std::set<std::string> by;
+    for (const Said& one : said) {
+      if (one.at + one.vote.lasts > out.at && CanBe(one)) by.insert(one.vote.balancer);
+    }
+    for (const std::string& balancer : by) ++against[balancer];
+  }
+  const Group& group = groups_.back().second;
+  std::set<std::string> voters, zones;
+  for (const Said& one : votes_[out.host]) {
+    const ejection::Vote& vote = one.vote;
+    if (vote.life != out.life || one.at + vote.lasts + late_ < out.at || !CanBe(one)) continue;
+    const auto from = std::ranges::find(group.balancers, vote.balancer, &ejection::Balancer::name);
+    if (from == group.balancers.end() || from->zone != vote.zone || !Uses(*from, out.host)) continue;
+    const size_t used = from->hosts.empty() ? group.hosts.size() : from->hosts.size();
+    if (against[vote.balancer] >= 2 * rules_.suspect_least &&
+        static_cast<double>(against[vote.balancer]) > 2 * rules_.suspect_share * static_cast<double>(used)) {
+      continue;
+    }
+    // It must have seen a failure itself.
+    const auto seen = failed_.find({vote.balancer, out.host});
+    if (seen == failed_.end() || seen->second + rules_.window + kSecond < one.at) continue;
+    voters.insert(vote.balancer);
+    zones.insert(vote.zone);
+  }
+  std::set<std::string> using_zones;
+  for (const ejection::Balancer& one : group.balancers) {
+    if (Uses(one, out.host)) using_zones.insert(one.zone);
+  }
+  if (voters.size() < rules_.voters_least) {
+    Broken(out.at, out.host + " ejected by " + std::to_string(voters.size()) + " voters");
+  } else if (zones.size() < std::min<size_t>(rules_.zones_least, using_zones.size())) {
+    Broken(out.at, out.host + " ejected by one zone alone");
+  }
+}
+
+void Judge::CheckSeen(const Event& out) {
+  size_t users = 0;
+  for (const ejection::Balancer& one : groups_.back().second.balancers) users += Uses(one, out.host) ? 1 : 0;
+  size_t most = 0;
+  const auto& course = truth_[out.host];
+  for (size_t i = 0; i < course.size(); ++i) {
+    const bool over = i + 1 < course.size() && course[i + 1].first + rules_.window + late_ < out.at;
+    if (!over) most = std::max(most, course[i].second.size());
+  }
+  if (2 * most <= users) {
+    Broken(out.at, out.host + " ejected, good for all but " + std::to_string(most) + " of " +
+                       std::to_string(users));
+  }
+}
+
+void Judge::CheckCap(Micros at, const std::string& balancer) {
+  // A balancer may still go by a group that was, as long as word takes.
+  size_t cap = 0;
+  for (const auto& [since, group] : groups_) cap = std::max(cap, CapOf(rules_.most_group, group.hosts.size()));
+  const auto& out = out_[balancer];
+  if (out.size() > cap) {
+    Broken(at, balancer + " has " + std::to_string(out.size()) + " hosts out, past the cap of " +
+                   std::to_string(cap));
+  }
+  if (groups_.size() > 1) return;  // these two ask for a group that all agree on
+  std::map<std::string, std::pair<size_t, size_t>> zones;  // hosts, out
+  const Group& group = groups_.back().second;
+  for (const ejection::Host& host : group.hosts) {
+    ++zones[host.zone].first;
+    if (out.contains(host.name)) ++zones[host.zone].second;
+  }
+  for (const auto& [zone, counts] : zones) {
+    if (counts.second > 0 && counts.second == counts.first) {
+      Broken(at, balancer + " has the last host of " + zone + " out");
+    } else if (counts.second > CapOf(rules_.most_zone, counts.first)) {
+      Broken(at, balancer + " is past the cap of " + zone);
+    }
+  }
+}
+
+void Judge::CheckEnds(Micros at) {
+  for (auto& [balancer, hosts] : out_) {
+    for (auto& [host, out] : hosts) {
+      if (out.until >= at || out.told) continue;
+      out.told = true;
+      Broken(at, host + " is out at " + balancer + " past its term");
+    }
+  }
+}
+
+void Judge::Hear(const Event& event) {
+  if (event.at - checked_ >= kSecond) {
+    checked_ = event.at;
+    CheckEnds(event.at);
+    while (groups_.size() > 1 && groups_[1].first + late_ < event.at) {
+      groups_.pop_front();
+      if (groups_.size() == 1) {
+        for (const auto& [balancer, hosts] : out_) CheckCap(event.at, balancer);
+      }
+    }
+  }
+  switch (event.what) {
+    case Event::What::kGroup:
+      groups_.emplace_back(event.at, event.group);
+      break;
+    case Event::What::kTruth:
+      truth_[event.host].emplace_back(event.at, event.users);
+      if (truth_[event.host].size() > 64) truth_[event.host].pop_front();
+      break;
+    case Event::What::kVote: {
+      auto& votes = votes_[event.vote.host];
+      votes.push_back({event.vote, event.at});
+      while (votes.front().at + 2 * rules_.vote_lasts + late_ < event.at) votes.pop_front();
+      break;
+    }
+    case Event::What::kTakeBack:
+      // It may have counted on its way: it is no vote any more once all have heard.
+      for (Said& said : votes_[event.host]) {
+        if (said.vote.balancer == event.balancer) {
+          said.vote.lasts = std::min(said.vote.lasts, event.at - said.at + late_);
+        }
+      }
+      break;
+    case Event::What::kResult:
+      if (!event.good) last_failed_[event.host] = failed_[{event.balancer, event.host}] = event.at;
+      break;
+    case Event::What::kByHand:
+      by_hand_[event.host] = event.at + event.span + late_;
+      break;
+    case Event::What::kOut: {
+      const bool first = ejected_.insert({event.host, event.number}).second;
+      if (first) {
+        CheckVotes(event);
+        CheckSeen(event);
+        const auto* host = Find(groups_.back().second, event.host);
+        if (groups_.size() == 1 && (host == nullptr || host->life != event.life)) {
+          Broken(event.at, event.host + " ejected in a life that it has not");
+        }
+      }
+      Out& out = out_[event.balancer][event.host];
+      const bool again = out.number == event.number && out.since != 0;
+      if (again && last_failed_[event.host] < out.since - late_ && by_hand_[event.host] < event.at) {
+        Broken(event.at, event.host + " stays out without a bad trial");
+      }
+      const Micros term = rules_.longest_term + rules_.try_one + rules_.try_few + late_;
+      out = {event.life, event.number, event.at, std::max(event.at + term, by_hand_[event.host] + term), false};
+      CheckCap(event.at, event.balancer);
+      break;
+    }
+    case Event::What::kIn:
+      out_[event.balancer].erase(event.host);
+      break;
+  }
+}
+
+void Judge::Finish(Micros at) { CheckEnds(at); }
+
+}  // namespace burlfall::ejection_world
--- /dev/null
+++ b/tests/ejection/wire_test.cpp
@@ -0,0 +1,1 @@
+#include <gtest/gtest.h>
