--- a/src/ejection/evidence.cpp
+++ b/src/ejection/evidence.cpp
@@ -227,20 +227,23 @@
 
 bool Evidence::OwnNetwork(Micros now) const { return OthersFail(now, Seen{}); }
 
-// Of all results but this host's.
+// Of the last results but this host's: those of some seconds, or of more where a balancer has few.
 bool Evidence::OthersFail(Micros now, const Seen& seen) const {
-  uint64_t trials = 0, failed = 0;
-  for (const auto& [cls, of] : classes_) {
-    const Sum sum = SumOf(of.all, now - kOwnNetwork);
-    trials += sum.trials;
-    failed += sum.failed;
-  }
-  for (const auto& [cls, ring] : seen.classes) {
-    const Sum sum = SumOf(ring, now - kOwnNetwork);
-    trials -= std::min<uint64_t>(trials, sum.trials);
-    failed -= std::min<uint64_t>(failed, sum.failed);
+  for (Micros back = kOwnNetwork;; back = std::min(2 * back, rules_.window)) {
+    uint64_t trials = 0, failed = 0;
+    for (const auto& [cls, of] : classes_) {
+      const Sum sum = SumOf(of.all, now - back);
+      trials += sum.trials;
+      failed += sum.failed;
+    }
+    for (const auto& [cls, ring] : seen.classes) {
+      const Sum sum = SumOf(ring, now - back);
+      trials -= std::min<uint64_t>(trials, sum.trials);
+      failed -= std::min<uint64_t>(failed, sum.failed);
+    }
+    if (trials < kOwnLeast && back < rules_.window) continue;
+    return trials >= 3 && static_cast<double>(failed) >= rules_.own_share * static_cast<double>(trials);
   }
-  return trials >= kOwnLeast && static_cast<double>(failed) >= rules_.own_share * static_cast<double>(trials);
 }
 
 double Evidence::UsualOf(Micros now, uint32_t cls, const Ring& own_ring) const {
@@ -303,7 +306,7 @@
       Bucket whole{since, sum.trials, sum.failures};
       odds = std::max(odds, OddsOf(whole, UsualOf(now, cls, ring)));
     }
-    if (all.trials == 0) return {};
+    if (all.trials == 0 || (odds > 0 && odds < rules_.odds_asked)) return {};
     opinion.said = odds > 0 ? Said::kVote : Said::kGood;
     opinion.sum = all;
     if (opinion.said == Said::kGood) return opinion;
@@ -320,7 +323,10 @@
     opinion.sum.trials += sum.trials;
     opinion.sum.failed += sum.failed;
     for (size_t kind = 0; kind < kKinds; ++kind) opinion.sum.failures[kind] += sum.failures[kind];
-    if (OddsOf({worst.since, sum.trials, sum.failures}, UsualOf(now, cls, ring)) <= 0) continue;
+    if (OddsOf({worst.since, sum.trials, sum.failures}, UsualOf(now, cls, ring)) <= 0) {
+      opinion.others += sum.trials - sum.failed;
+      continue;
+    }
     opinion.cls = std::exchange(first, false) ? cls : kSeveralClasses;
   }
   if (opinion.sum.failed == 0) return {};
@@ -376,6 +382,7 @@
       vote.kind =
           static_cast<Kind>(std::ranges::max_element(opinion.sum.failures) - opinion.sum.failures.begin());
       vote.cls = opinion.cls;
+      vote.others = opinion.others;
       vote.sure = opinion.said == Said::kSure;
       vote.lasts = rules_.vote_lasts;
     }
--- a/src/ejection/evidence.h
+++ b/src/ejection/evidence.h
@@ -102,6 +102,7 @@
     Said said = Said::kNothing;
     Sum sum;
     uint32_t cls = kSeveralClasses;
+    uint32_t others = 0;  // good answers of the other classes
   };
   Opinion Judge(Micros now, const Seen& seen) const;
   void Mark(const std::string& host, Seen& seen);
--- a/src/ejection/saved.cpp
+++ b/src/ejection/saved.cpp
@@ -61,7 +61,7 @@
     to.pack_array(static_cast<uint32_t>(all.size()));
     for (const auto& [key, word] : all) {
       const Vote& vote = word.vote;
-      to.pack_array(11);
+      to.pack_array(12);
       Put(to, key);
       Put(to, vote.balancer);
       Put(to, vote.zone);
@@ -72,6 +72,7 @@
       to.pack(static_cast<uint8_t>(vote.kind) * 2 + static_cast<uint8_t>(vote.sure));
       to.pack(vote.cls);
       to.pack(vote.lasts);
+      to.pack(vote.others);
       to.pack(word.until);
     }
   };
@@ -180,6 +181,7 @@
           word.vote.sure = kind % 2 == 1;
           word.vote.cls = said.Small();
           word.vote.lasts = said.Span();
+          word.vote.others = said.Small();
           word.until = said.Span();
           (*words)[key] = std::move(word);
         }
--- a/src/ejection/state.cpp
+++ b/src/ejection/state.cpp
@@ -2,9 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdio>
-#include <cstdlib>
-#include <cmath>
 #include <utility>
 
 namespace burlfall::ejection {
@@ -33,6 +30,14 @@
   return held == Held::kGroupCap || held == Held::kZoneCap || held == Held::kWork || held == Held::kMany;
 }
 
+// Where this share of a host's answers fails, how much `trials` good ones speak against that. By
+// multiplication alone, so that each member's processor finds the same.
+double Contradicts(uint32_t trials, double share) {
+  double chance = 1;
+  for (uint32_t i = 0; i < std::min<uint32_t>(trials, 64); ++i) chance *= 1 - share;
+  return 1 - chance;
+}
+
 }  // namespace
 
 Effects State::Apply(uint64_t index, Micros at, const Command& command) {
@@ -491,11 +496,14 @@
   }
   std::array<uint32_t, kKinds> kinds{};
   bool first = true;
+  std::map<std::string, double> balance;  // of each zone: votes, less good words
   for (const auto& [key, word] : one.votes) {
     const Vote& vote = word.vote;
     if (suspects_.contains(vote.balancer) && !rules_.planted.suspects_count) continue;
     count.voters.push_back(vote.balancer);
-    count.zones.insert(vote.zone);
+    count.sure += vote.sure ? 1 : 0;
+    count.others += vote.others >= rules_.least_trials ? 1 : 0;
+    balance[vote.zone] += 1;
     // Each began with a failure, by choice; only what followed tells how often it fails.
     failed += static_cast<double>(std::min(vote.failures, vote.trials)) - 1;
     trials += static_cast<double>(vote.trials) - 1;
@@ -510,28 +518,35 @@
   for (const auto& [key, word] : one.goods) {
     // A few good answers from a host that fails a third of the time are no word against those who saw it
     // fail.
-    const double weight = 1 - std::pow(1 - count.share, std::min<uint32_t>(word.vote.trials, 1000));
+    const double weight = Contradicts(word.vote.trials, count.share);
     count.goods += weight;
-    if (word.vote.cls != count.cls) count.other_goods += weight;
+    balance[word.vote.zone] -= weight;
+    if (word.vote.cls != count.cls) count.others += weight;
+  }
+  for (const auto& [zone, votes] : balance) {
+    if (votes > 0) count.zones.insert(zone);
   }
   return count;
 }
 
 bool State::MeetsVotes(const std::string& host, Case& one, const Count& count, Effects& effects) const {
   if (count.voters.size() < rules_.voters_least) return false;
+  const auto record = ejections_.find(host);
+  const bool relapse = record != ejections_.end() && at_ - record->second.since <= rules_.relapse_within;
+  const bool sure = count.sure >= rules_.sure_least || count.voters.size() >= 2 * rules_.voters_least;
+  if (!sure && !relapse) return false;
   if (count.zones.size() < std::min<size_t>(rules_.zones_least, ZonesUsing(host)) &&
       !rules_.planted.zones_ignored) {
-    const std::string& zone = *count.zones.begin();
-    if (one.told_path == zone) return false;
-    one.told_path = zone;
+    if (count.zones.size() != 1 || one.told_path == *count.zones.begin()) return false;
+    one.told_path = *count.zones.begin();
     Effect effect = About(What::kPath, host, hosts_.at(host).host.life);
-    effect.zone = zone;
+    effect.zone = one.told_path;
     effect.who = count.voters;
     effects.push_back(std::move(effect));
     return false;
   }
   const auto voters = static_cast<double>(count.voters.size());
-  if (count.cls != kSeveralClasses && count.other_goods > voters / 2 && !rules_.planted.goods_ignored) {
+  if (count.cls != kSeveralClasses && count.others > voters / 2 && !rules_.planted.goods_ignored) {
     if (std::exchange(one.told_class, true)) return false;
     Effect effect = About(What::kClass, host, hosts_.at(host).host.life);
     effect.cls = count.cls;
@@ -619,7 +634,6 @@
       continue;
     }
     Count count = CountOne(host, one);
-    if (getenv("DBG")) printf("DBG at %.2f %s asked %.2f voters %zu zones %zu goods n %zu w %.1f other %.1f share %.2f cls %u\n", double(at_)/1e6, host.c_str(), double(one.asked_at)/1e6, count.voters.size(), count.zones.size(), one.goods.size(), count.goods, count.other_goods, count.share, count.cls);
     if (!MeetsVotes(host, one, count, effects)) {
       one.told_held = Held::kNone;
       const double enough = rules_.answered_good * static_cast<double>(count.voters.size());
--- a/src/ejection/state.h
+++ b/src/ejection/state.h
@@ -35,6 +35,7 @@
   uint32_t failures = 0;
   Kind kind = Kind::kErrors;       // most of them
   uint32_t cls = kSeveralClasses;  // that fails
+  uint32_t others = 0;             // good answers in other classes meanwhile, where cls is one
   bool sure = false;               // by itself; the others only answer a question
   Micros lasts = 0;                // from its entry on; the rules' vote_lasts at most
 };
@@ -256,11 +257,12 @@
   };
   struct Count {  // of one case
     std::vector<std::string> voters;
-    std::set<std::string> zones;
-    double goods = 0;        // each by how much it speaks against the votes
-    double other_goods = 0;  // of them, of classes that nobody votes for
-    double share = 1;        // of failures after each voter's first
-    double raw_share = 1;    // without a doubt added
+    std::set<std::string> zones;  // in which votes outweigh good words
+    double goods = 0;             // each by how much it speaks against the votes
+    double others = 0;            // those for whom other classes are good
+    uint32_t sure = 0;            // of the voters
+    double share = 1;             // of failures after each voter's first
+    double raw_share = 1;         // without a doubt added
     Kind kind = Kind::kErrors;
     uint32_t cls = kSeveralClasses;
   };
--- a/src/ejection/wire.cpp
+++ b/src/ejection/wire.cpp
@@ -10,7 +10,7 @@
 constexpr uint32_t kMostBalancers = 1 << 14;
 
 void PutVote(Packer& to, const Vote& vote) {
-  to.pack_array(11);
+  to.pack_array(12);
   Put(to, vote.balancer);
   Put(to, vote.zone);
   Put(to, vote.host);
@@ -22,6 +22,7 @@
   to.pack(vote.cls);
   to.pack(static_cast<uint8_t>(vote.sure));
   to.pack(vote.lasts);
+  to.pack(vote.others);
 }
 
 Vote TakeVote(Values from) {
@@ -37,6 +38,7 @@
   vote.cls = from.Small();
   vote.sure = from.Flag();
   vote.lasts = from.Span();
+  vote.others = from.Small();
   return vote;
 }
 
--- a/src/lab/ejection_world/fleet.h
+++ b/src/lab/ejection_world/fleet.h
@@ -1,7 +1,7 @@
-// A model of a fleet, to see what votes are worth and whether they do harm: balancers with a plain model of the
-// decision module (three failures in a row put a host to sleep, 1 s doubling to 30 s, one trial at its end; two
-// random choices), each with the real Evidence and InForce; a log that delays, an owner that changes, and the
-// real State. One thread, one virtual clock, everything from a seed.
+// A model of a fleet, to see what votes are worth and whether they do harm: balancers with a plain model of
+// the decision module (three failures in a row put a host to sleep, 1 s doubling to 30 s, one trial at its
+// end; two random choices), each with the real Evidence and InForce; a log that delays, an owner that
+// changes, and the real State. One thread, one virtual clock, everything from a seed.
 #ifndef BURLFALL_LAB_EJECTION_WORLD_FLEET_H_
 #define BURLFALL_LAB_EJECTION_WORLD_FLEET_H_
 
@@ -23,11 +23,11 @@
   Micros begin = 0;
   Micros end = kNever;
   ejection::Kind kind = ejection::Kind::kErrors;
-  double share = 1;      // of its queries
-  int zone = -1;         // of balancers; -1: of all
-  int build = -1;        // likewise
-  int cls = -1;          // of queries
-  Micros period = 0;     // bad and good in turn, so long each; 0: bad all the time
+  double share = 1;   // of its queries
+  int zone = -1;      // of balancers; -1: of all
+  int build = -1;     // likewise
+  int cls = -1;       // of queries
+  Micros period = 0;  // bad and good in turn, so long each; 0: bad all the time
 };
 
 // A zone's balancers lose their network: all hosts, or those of other zones, are silent for them.
@@ -40,11 +40,11 @@
 
 struct Liar {
   enum class How {
-    kAll,     // votes against all hosts, sure
-    kCantBe,  // votes against one host with numbers that can't be
-    kOldLife, // votes against one host in its earlier life
-    kFlood,   // a hundred votes a second
-    kStale,   // one vote, sure and good to look at, and then silence
+    kAll,      // votes against all hosts, sure
+    kCantBe,   // votes against one host with numbers that can't be
+    kOldLife,  // votes against one host in its earlier life
+    kFlood,    // a hundred votes a second
+    kStale,    // one vote, sure and good to look at, and then silence
   };
   size_t balancer = 0;
   How how = How::kAll;
@@ -73,39 +73,39 @@
   size_t hosts = 200;
   size_t zones = 3;
   size_t builds = 10;
-  double rate = 3600;     // queries a second of the fleet
+  double rate = 3600;  // queries a second of the fleet
   Micros span = 60 * kSecond;
-  double luck = 0.002;    // share of all answers that are errors anyway
-  Micros took = 50 * kMs;      // of a good answer, on average
+  double luck = 0.002;            // share of all answers that are errors anyway
+  Micros took = 50 * kMs;         // of a good answer, on average
   Micros patience = 1 * kSecond;  // then a host is silent, and an answer is late
-  double used = 0.5;      // of the capacity
+  double used = 0.5;              // of the capacity
   bool votes = true;
   Micros measured_from = 0;
   std::vector<Trouble> troubles;
   std::vector<Broken> broken;
   std::vector<Liar> liars;
-  std::vector<Act> acts;                      // by time
+  std::vector<Act> acts;  // by time
   std::vector<Span> without_council;
-  std::vector<std::pair<size_t, Span>> deaf;  // balancers that hear nothing of the log
+  std::vector<std::pair<size_t, Span>> deaf;     // balancers that hear nothing of the log
   std::vector<std::pair<size_t, size_t>> alone;  // balancer uses this host alone; the others all
   ejection::Rules rules;
 };
 
 struct Figures {
   uint64_t queries = 0;
-  uint64_t lost = 0;        // failed or late, from `measured_from` on
+  uint64_t lost = 0;         // failed or late, from `measured_from` on
   uint64_t lost_minute = 0;  // of them in the first minute
   uint64_t lost_at_troubled = 0;
   // Until the first troubled host had nothing new from any balancer; by sleep or by vote. kNever: not so.
   Micros quiet_after = kNever;
   uint64_t ejections = 0;
-  uint64_t wrong = 0;  // ejections of hosts without trouble
-  uint64_t entries = 0;  // in the log
+  uint64_t wrong = 0;         // ejections of hosts without trouble
+  uint64_t entries = 0;       // in the log
   uint64_t entries_most = 0;  // in one second
   uint64_t paths = 0, classes = 0, suspects = 0, incidents = 0, held = 0, refused = 0;
-  uint64_t largest_state = 0;  // bytes
+  uint64_t largest_state = 0;       // bytes
   std::vector<std::string> broken;  // by the judge
-  bool differs = false;  // two states from one log, one of them saved and loaded on its way
+  bool differs = false;             // two states from one log, one of them saved and loaded on its way
 };
 
 Figures Play(const Plan& plan);
--- a/src/lab/ejection_world/judge.h
+++ b/src/lab/ejection_world/judge.h
@@ -1,7 +1,7 @@
-// Reads a history of ejections from outside (what balancers sent, what hosts answered, what was in force where,
-// which hosts and balancers there were) and says which of invariant 5's parts it breaks: no ejection without its
-// votes; never past the cap, at any balancer, whoever owns the count; no host that most see good; each ejection
-// ends. It knows the rules' figures and nothing of how the council counts.
+// Reads a history of ejections from outside (what balancers sent, what hosts answered, what was in force
+// where, which hosts and balancers there were) and says which of invariant 5's parts it breaks: no ejection
+// without its votes; never past the cap, at any balancer, whoever owns the count; no host that most see good;
+// each ejection ends. It knows the rules' figures and nothing of how the council counts.
 #ifndef BURLFALL_LAB_EJECTION_WORLD_JUDGE_H_
 #define BURLFALL_LAB_EJECTION_WORLD_JUDGE_H_
 
@@ -20,14 +20,14 @@
 
 struct Event {
   enum class What {
-    kGroup,   // group: as the balancers and hosts are from now on
-    kTruth,   // host, users: those whom it fails often from now on, by what it is and does
-    kVote,    // vote: sent
+    kGroup,     // group: as the balancers and hosts are from now on
+    kTruth,     // host, users: those whom it fails often from now on, by what it is and does
+    kVote,      // vote: sent
     kTakeBack,  // balancer, host: its vote
-    kResult,  // balancer, host, good
-    kOut,     // balancer, host, life, number: nothing new goes there from it; again for each new term
-    kIn,      // balancer, host: it does again
-    kByHand,  // host, span: an operator extended its term
+    kResult,    // balancer, host, good
+    kOut,       // balancer, host, life, number: nothing new goes there from it; again for each new term
+    kIn,        // balancer, host: it does again
+    kByHand,    // host, span: an operator extended its term
   };
   What what = What::kGroup;
   Micros at = 0;  // the lab's own time, which nobody else knows
@@ -74,8 +74,9 @@
   ejection::Rules rules_;
   Micros late_;
   std::vector<std::string> broken_;
-  std::deque<std::pair<Micros, ejection::Group>> groups_;  // the newest last; those that may still be believed
-  std::map<std::string, std::deque<Said>> votes_;          // by host
+  std::deque<std::pair<Micros, ejection::Group>>
+      groups_;                                     // the newest last; those that may still be believed
+  std::map<std::string, std::deque<Said>> votes_;  // by host
   std::map<std::string, std::deque<std::pair<Micros, std::set<std::string>>>> truth_;
   std::map<std::pair<std::string, std::string>, Micros> failed_;  // by balancer and host, its last
   std::map<std::string, Micros> last_failed_;                     // by host
