--- a/src/ejection/evidence.cpp
+++ b/src/ejection/evidence.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr size_t kMostAllClasses = 64;
-constexpr uint32_t kEnoughTooks = 20;        // answers of a class before any is called slow
+constexpr uint32_t kEnoughTooks = 50;        // answers of a class before any is called slow
 constexpr uint32_t kHalveTooksAt = 4000;     // so that older times fade
 constexpr Micros kOwnNetwork = 5 * kSecond;  // looked back at for it
 constexpr uint32_t kOwnLeast = 8;            // results in it
@@ -229,7 +229,7 @@
 
 // Of the last results but this host's: those of some seconds, or of more where a balancer has few.
 bool Evidence::OthersFail(Micros now, const Seen& seen) const {
-  for (Micros back = kOwnNetwork;; back = std::min(2 * back, rules_.window)) {
+  const auto of_others = [&](Micros back) {
     uint64_t trials = 0, failed = 0;
     for (const auto& [cls, of] : classes_) {
       const Sum sum = SumOf(of.all, now - back);
@@ -241,6 +241,12 @@
       trials -= std::min<uint64_t>(trials, sum.trials);
       failed -= std::min<uint64_t>(failed, sum.failed);
     }
+    return std::pair(trials, failed);
+  };
+  const auto [at_once, failed_at_once] = of_others(2 * kSecond);
+  if (at_once >= 3 && 2 * failed_at_once >= at_once) return true;  // it has just begun
+  for (Micros back = kOwnNetwork;; back = std::min(2 * back, rules_.window)) {
+    const auto [trials, failed] = of_others(back);
     if (trials < kOwnLeast && back < rules_.window) continue;
     return trials >= 3 && static_cast<double>(failed) >= rules_.own_share * static_cast<double>(trials);
   }
--- a/src/ejection/rules.h
+++ b/src/ejection/rules.h
@@ -29,7 +29,7 @@
   double usual_share = 0.01;         // of failures of the others, at least, so that luck makes no vote
   double sure = 5;                   // natural logarithm of the odds bad : as the others, for a vote unasked
   double own_share = 0.25;           // of all results of the group failing: its own network; it tells nothing
-  double slow_times = 8;             // the median of the same class is slow
+  double slow_times = 10;            // the median of the same class is slow
   Micros slow_least = 100 * kMs;     // and at least so long
   Micros vote_lasts = 30 * kSecond;  // from its entry; then it has run out
   Micros tell_again = 10 * kSecond;  // before its end a vote that still stands is told anew
@@ -43,7 +43,7 @@
   Micros listen = 1 * kSecond;        // from the question to the first count
   Micros ask_back = 3 * kSecond;      // before the question, at most, results are asked for as well
   Micros relapse_ask = 10 * kSecond;  // after a return, grace first, all tell unasked for so long
-  double odds_asked = 1;        // as `sure`, for a vote in question; good words where they are not above even
+  double odds_asked = 3;        // as `sure`, for a vote in question; good words where they are not above even
   uint32_t sure_least = 2;      // voters that are sure, or twice the least of voters
   uint32_t voters_least = 3;    // distinct balancers
   uint32_t zones_least = 2;     // of voters, where as many use the host
--- a/src/ejection/state.cpp
+++ b/src/ejection/state.cpp
@@ -449,8 +449,9 @@
 void State::Suspect(Effects& effects) {
   for (const auto& [name, balancer] : balancers_) {
     const size_t used = balancer.hosts.empty() ? hosts_.size() : balancer.hosts.size();
-    const bool is = balancer.against >= rules_.suspect_least &&
-                    balancer.against > rules_.suspect_share * static_cast<double>(used);
+    const bool many = balancer.against >= rules_.suspect_least &&
+                      balancer.against > rules_.suspect_share * static_cast<double>(used);
+    const bool is = many || balancer.told;  // or tells more than one that is sound ever could
     if (is == suspects_.contains(name)) continue;
     Effect effect = About(is ? What::kSuspect : What::kCleared, "");
     effect.who = {name};
@@ -520,7 +521,7 @@
     // fail.
     const double weight = Contradicts(word.vote.trials, count.share);
     count.goods += weight;
-    balance[word.vote.zone] -= weight;
+    if (!rules_.planted.goods_ignored) balance[word.vote.zone] -= weight;
     if (word.vote.cls != count.cls) count.others += weight;
   }
   for (const auto& [zone, votes] : balance) {
--- a/src/lab/ejection_world/fleet.h
+++ b/src/lab/ejection_world/fleet.h
@@ -88,6 +88,7 @@
   std::vector<Span> without_council;
   std::vector<std::pair<size_t, Span>> deaf;     // balancers that hear nothing of the log
   std::vector<std::pair<size_t, size_t>> alone;  // balancer uses this host alone; the others all
+  bool tell = false;                             // each count that ejects, with its words, into `told`
   ejection::Rules rules;
 };
 
@@ -103,7 +104,8 @@
   uint64_t entries = 0;       // in the log
   uint64_t entries_most = 0;  // in one second
   uint64_t paths = 0, classes = 0, suspects = 0, incidents = 0, held = 0, refused = 0;
-  uint64_t largest_state = 0;       // bytes
+  uint64_t largest_state = 0;  // bytes
+  std::vector<std::string> told;
   std::vector<std::string> broken;  // by the judge
   bool differs = false;             // two states from one log, one of them saved and loaded on its way
 };
--- a/src/lab/ejection_world/judge.h
+++ b/src/lab/ejection_world/judge.h
@@ -79,6 +79,7 @@
   std::map<std::string, std::deque<Said>> votes_;  // by host
   std::map<std::string, std::deque<std::pair<Micros, std::set<std::string>>>> truth_;
   std::map<std::pair<std::string, std::string>, Micros> failed_;  // by balancer and host, its last
+  std::map<std::pair<std::string, std::string>, Micros> served_;  // its last good answer
   std::map<std::string, Micros> last_failed_;                     // by host
   std::map<std::string, std::map<std::string, Out>> out_;         // by balancer, host
   std::map<std::string, Micros> by_hand_;
