--- a/src/config/council_settings.cpp
+++ b/src/config/council_settings.cpp
@@ -12,6 +12,76 @@
 // Work that a balancer may ask to own. Others are refused here: a slip in a name would own nothing for ever.
 constexpr std::string_view kWorks[] = {"freeze", "ejection", "list_call"};
 
+constexpr std::string_view kChanges[] = {"node_out", "node_back", "drain",   "undrain",
+                                         "reload",   "upgrade",   "restart", "voters"};
+constexpr std::string_view kIncidents[] = {"operator", "zone_down", "no_lists", "ejection_cap", "refusals"};
+constexpr std::string_view kReaches[] = {"nowhere", "where_scopes_meet", "everywhere"};
+
+template <size_t n>
+bool Knows(const std::string_view (&words)[n], const std::string& word) {
+  return std::ranges::find(words, word) != std::end(words);
+}
+
+template <size_t n>
+std::string OneOf(const std::string_view (&words)[n]) {
+  std::string all = "one of";
+  for (const std::string_view word : words) all.append(" ").append(word);
+  return all;
+}
+
+Schema<CouncilForbids> ForbidsSchema() {
+  Schema<CouncilForbids> s("a line of what incidents forbid; the first that fits decides");
+  s.Key("incident", &CouncilForbids::incident,
+        "operator, zone_down, no_lists, ejection_cap or refusals; left out: any")
+      .Length(0, 32);
+  s.Key("change", &CouncilForbids::change,
+        "node_out, node_back, drain, undrain, reload, upgrade, restart or voters; left out: any")
+      .Length(0, 32);
+  s.Key("reach", &CouncilForbids::reach, "nowhere, where_scopes_meet or everywhere").Length(1, 32);
+  return s;
+}
+
+Schema<CouncilFreeze> FreezeSchema() {
+  Schema<CouncilFreeze> s("changes, and what incidents forbid");
+  s.Key("step_lease_s", &CouncilFreeze::step_lease_s, "in which a granted step may begin")
+      .Unit("s")
+      .Between(0.2, 600);
+  s.Key("change_lease_s", &CouncilFreeze::change_lease_s, "without a word of its owner a change is abandoned")
+      .Unit("s")
+      .Between(0.5, 86400);
+  s.Key("most_balancers_of_zone", &CouncilFreeze::most_balancers_of_zone, "with a change under way at once")
+      .Between(1, 1000);
+  s.Key("most_nodes_of_group", &CouncilFreeze::most_nodes_of_group, "with a change under way at once")
+      .Between(1, 1000);
+  s.Key("ask_again_s", &CouncilFreeze::ask_again_s, "told to whoever is refused").Unit("s").Between(1, 3600);
+  s.Key("emergencies", &CouncilFreeze::emergencies,
+        "kinds of change that go on without a majority, by name and reason, and are told afterwards")
+      .Length(0, 8);
+  s.Tables("forbids", &CouncilFreeze::forbids, ForbidsSchema(),
+           "left out: where scopes meet, and upgrades and changes of voters everywhere while a zone is down")
+      .Length(0, 64);
+  return s;
+}
+
+void CheckFreeze(const CouncilFreeze& freeze, Findings& findings) {
+  if (freeze.change_lease_s < freeze.step_lease_s)
+    findings.Add("freeze.change_lease_s", "step_lease_s at least", std::to_string(freeze.change_lease_s));
+  for (size_t i = 0; i < freeze.emergencies.size(); ++i) {
+    if (Knows(kChanges, freeze.emergencies[i])) continue;
+    findings.Add("freeze.emergencies[" + std::to_string(i) + "]", OneOf(kChanges),
+                 Quoted(freeze.emergencies[i]));
+  }
+  for (size_t i = 0; i < freeze.forbids.size(); ++i) {
+    const CouncilForbids& line = freeze.forbids[i];
+    const std::string at = "freeze.forbids[" + std::to_string(i) + "].";
+    if (!line.incident.empty() && !Knows(kIncidents, line.incident))
+      findings.Add(at + "incident", OneOf(kIncidents), Quoted(line.incident));
+    if (!line.change.empty() && !Knows(kChanges, line.change))
+      findings.Add(at + "change", OneOf(kChanges), Quoted(line.change));
+    if (!Knows(kReaches, line.reach)) findings.Add(at + "reach", OneOf(kReaches), Quoted(line.reach));
+  }
+}
+
 Schema<CouncilVoter> VoterSchema() {
   Schema<CouncilVoter> s("a balancer that votes");
   s.Key("name", &CouncilVoter::name, "as its platform calls it").Required().Length(1, 64);
@@ -86,7 +156,9 @@
         "for laboratories: stands still between an owner's check and its act, where real machines are paused")
       .Unit("ms")
       .Between(0, 60000);
+  s.Table("freeze", &CouncilSettings::freeze, FreezeSchema(), "when operators' changes may begin");
   s.Check([](const CouncilSettings& settings, Findings& findings) {
+    CheckFreeze(settings.freeze, findings);
     CheckAddress(findings, "listen", settings.listen);
     if (!settings.told.empty()) CheckAddress(findings, "told", settings.told);
     CheckVoters(settings, findings);
--- a/src/config/council_settings.h
+++ b/src/config/council_settings.h
@@ -16,6 +16,23 @@
   std::string address;
 };
 
+// What an incident forbids; an empty kind stands for all. The first that fits decides.
+struct CouncilForbids {
+  std::string incident;
+  std::string change;
+  std::string reach = "where_scopes_meet";
+};
+
+struct CouncilFreeze {
+  double step_lease_s = 2;
+  double change_lease_s = 30;
+  int most_balancers_of_zone = 1;
+  int most_nodes_of_group = 2;
+  double ask_again_s = 30;
+  std::vector<std::string> emergencies = {"node_out", "restart"};
+  std::vector<CouncilForbids> forbids;
+};
+
 struct CouncilSettings {
   std::string site;
   std::string listen;
@@ -30,6 +47,7 @@
   int ask_ms = 2000;
   int64_t most_log = 4096;
   int step_ms = 0;
+  CouncilFreeze freeze;
 };
 
 Schema<CouncilSettings> CouncilSchema();
--- a/src/council/council.cpp
+++ b/src/council/council.cpp
@@ -44,6 +44,40 @@
   return rules;
 }
 
+// The value of an enum by its name; the settings were checked.
+template <class Enum>
+std::optional<Enum> ByName(const std::string& name, size_t count) {
+  for (size_t i = 0; i < count; ++i) {
+    if (name == freeze::NameOf(static_cast<Enum>(i))) return static_cast<Enum>(i);
+  }
+  return {};
+}
+
+freeze::Rules FreezeRulesOf(const CouncilFreeze& settings) {
+  const auto us = [](double seconds) { return static_cast<Micros>(seconds * static_cast<double>(kSecond)); };
+  freeze::Rules rules;
+  rules.step_lease = us(settings.step_lease_s);
+  rules.change_lease = us(settings.change_lease_s);
+  rules.most_balancers_of_zone = static_cast<uint64_t>(settings.most_balancers_of_zone);
+  rules.most_nodes_of_group = static_cast<uint64_t>(settings.most_nodes_of_group);
+  rules.ask_again = us(settings.ask_again_s);
+  rules.emergencies.clear();
+  for (const std::string& name : settings.emergencies) {
+    if (const auto kind = ByName<freeze::ChangeKind>(name, freeze::kChangeKinds))
+      rules.emergencies.push_back(*kind);
+  }
+  if (settings.forbids.empty()) return rules;
+  rules.table.clear();
+  for (const CouncilForbids& line : settings.forbids) {
+    freeze::Row row;
+    row.incident = ByName<freeze::IncidentKind>(line.incident, freeze::kIncidentKinds);
+    row.change = ByName<freeze::ChangeKind>(line.change, freeze::kChangeKinds);
+    row.reach = ByName<freeze::Reach>(line.reach, 3).value_or(freeze::Reach::kWhereScopesMeet);
+    rules.table.push_back(row);
+  }
+  return rules;
+}
+
 Micros LeaseOf(const CouncilSettings& settings) {
   return static_cast<Micros>(settings.lease_s * static_cast<double>(kSecond));
 }
@@ -101,7 +135,9 @@
       self_{setup_.name, static_cast<uint64_t>(std::max<Micros>(machine.WallClock(), 1))},
       lapse_(settings.drift),
       freeze_lapse_(settings.drift),
-      gate_({}, self_),
+      freeze_rules_(FreezeRulesOf(settings.freeze)),
+      gate_(freeze_rules_, self_),
+      sights_(freeze_rules_),
       stir_(machine.scheduler()),
       learn_(machine.scheduler()),
       begun_(machine.scheduler()),
@@ -549,6 +585,12 @@
     command.rules = rules;
     core_->Propose(now, council::Envelope(command));
   }
+  if (!(state_.freeze().rules() == freeze_rules_)) {
+    freeze::Command command;
+    command.kind = freeze::Command::Kind::kRules;
+    command.rules = freeze_rules_;
+    core_->Propose(now, council::Envelope(command));
+  }
   if (joining_.empty()) return;
   const std::string name = joining_.front();
   for (const CouncilVoter& voter : settings_.voters) {
@@ -901,6 +943,7 @@
   using What = freeze::Effect::What;
   if (!effects.empty()) SyncLapse();
   for (const freeze::Effect& effect : effects) {
+    sights_.Applied(machine_.Now(), effect);
     const size_t kept = gate_.kept();
     gate_.Applied(effect);
     if (gate_.kept() != kept) {
@@ -922,6 +965,20 @@
   }
 }
 
+// What the owner of the freeze sees becomes incidents, and ends them.
+void Council::Look(uint64_t epoch) {
+  const Micros now = machine_.Now();
+  if (std::exchange(sights_epoch_, epoch) != epoch) sights_.Begin(now, state_.freeze(), epoch);
+  for (const Setup::Sight& sight : setup_.sights()) {
+    for (freeze::Command& command : sights_.Saw(now, sight.kind, sight.scope, sight.share)) {
+      command.who = self_;
+      command.request = ++requests_;
+      if (command.by.empty()) command.by = setup_.name;
+      Post(council::Envelope(command));
+    }
+  }
+}
+
 // Leases of changes and grants, as this leader's clock counts them.
 void Council::SyncLapse() {
   if (!Leads()) return;
@@ -1016,6 +1073,7 @@
           while (machine_.Now() < until) co_await held.moved.Wait(until);
         }
         SendAct(held, permit.epoch);
+        if (WorkOf(held) == owner::kFreezeWork) Look(permit.epoch);
         if (WorkOf(held) == owner::kEjectionWork && state_.ejection().ToCount(state_.ejection().at())) {
           ejection::Command command;
           command.what = ejection::Command::What::kCount;
--- a/src/council/council.h
+++ b/src/council/council.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -24,6 +25,7 @@
 #include "council/word.h"
 #include "freeze/local_gate.h"
 #include "freeze/permit.h"
+#include "freeze/sights.h"
 #include "io/machine.h"
 #include "observe/log.h"
 #include "owner/executor.h"
@@ -39,6 +41,13 @@
     // The files' and the socket's path, without their endings; the folder is `folder`.
     std::string stem;
     std::string folder;
+    // What the fleet looks like from here, asked about once a second of whoever owns the freeze.
+    struct Sight {
+      freeze::IncidentKind kind = freeze::IncidentKind::kZoneDown;
+      freeze::Scope scope;
+      double share = 0;
+    };
+    std::function<std::vector<Sight>()> sights = [] { return std::vector<Sight>(); };
   };
 
   // `log` and `counters` must outlive it.
@@ -144,6 +153,7 @@
   void SyncLapse();
   void FinishChanges();
   Task<std::string> Incident(std::string words);
+  void Look(uint64_t epoch);
 
   // Works and acts.
   Task<> Own(Held& held);
@@ -196,7 +206,10 @@
   uint64_t requests_ = 0;
   std::map<uint64_t, freeze::Command> finishing_;  // by change: to be told until it has ended
   Micros finish_at_ = 0;
+  const freeze::Rules freeze_rules_;
   freeze::LocalGate gate_;
+  freeze::Sights sights_;
+  uint64_t sights_epoch_ = 0;  // of the freeze, for which they began
   Micros led_on_at_ = 0;
 
   uint64_t numbers_ = 0;
--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <functional>
+#include <map>
 #include <utility>
 
 namespace burlfall {
@@ -122,9 +123,10 @@
 void Program::Join() {
   if (council_settings_) {
     const std::string& place = Named(config_, council_settings_->folder);
-    council_ = std::make_unique<Council>(machine_, *council_settings_,
-                                         Council::Setup{config_.name, PathFor(config_, place, ""), place},
-                                         log_, counters_);
+    council_ = std::make_unique<Council>(
+        machine_, *council_settings_,
+        Council::Setup{config_.name, PathFor(config_, place, ""), place, [this] { return SightsNow(); }},
+        log_, counters_);
     council_->Start();
   }
   if (!cluster_) return;
@@ -143,6 +145,35 @@
   member_->Start();
 }
 
+// Shares of the balancers, by zone and in all: who died lately, and who has no list.
+std::vector<Council::Setup::Sight> Program::SightsNow() const {
+  std::vector<Council::Setup::Sight> sights;
+  if (!member_) return sights;
+  const Micros now = machine_.Now();
+  struct Seen {
+    double all = 0, dead = 0;
+  };
+  std::map<std::string, Seen> zones;
+  zones[cluster_->zone].all += 1;
+  double alive = 1, without_list = hosts_.version() == 0 ? 1 : 0;
+  for (const auto& [name, member] : member_->mind().members()) {
+    const bool dead = member.state == cluster::State::kDead;
+    if (member.state == cluster::State::kLeft || (dead && now - member.since > kCountsFor)) continue;
+    Seen& zone = zones[member.facts.zone];
+    zone.all += 1;
+    zone.dead += dead ? 1 : 0;
+    alive += dead ? 0 : 1;
+    without_list += !dead && member.facts.list_version == 0 ? 1 : 0;
+  }
+  using freeze::IncidentKind;
+  for (const auto& [name, zone] : zones) {
+    if (!name.empty())
+      sights.push_back({IncidentKind::kZoneDown, freeze::Scope::Zone(name), zone.dead / zone.all});
+  }
+  sights.push_back({IncidentKind::kNoLists, freeze::Scope::Site(), without_list / alive});
+  return sights;
+}
+
 // What other balancers are told of this one.
 cluster::Facts Program::FactsNow() const {
   cluster::Facts facts;
--- a/src/serve/program.h
+++ b/src/serve/program.h
@@ -114,6 +114,7 @@
   void ShareByMembers();
   void Join();
   cluster::Facts FactsNow() const;
+  std::vector<Council::Setup::Sight> SightsNow() const;
   bool TakeOver(const Estate& estate);
   void SetAside(bool aside);
   void TellUse();
