--- a/src/council/council.cpp
+++ b/src/council/council.cpp
@@ -328,7 +328,9 @@
     if (!read.message) return Dropped(read.why, who);
     const Micros now = machine_.Now();
     if (auto* message = std::get_if<consensus::Message>(&*read.message)) {
-      if (core_) core_->Heard(now, *message);
+      if (!core_ || from.stale) return;
+      Promised(*message);
+      core_->Heard(now, *message);
     } else if (auto* ask = std::get_if<consensus::FollowAsk>(&*read.message)) {
       if (core_) {
         // Owners send to voters themselves.
@@ -348,10 +350,26 @@
   switch (word.kind) {
     case Word::Kind::kHello:
     case Word::Kind::kHelloBack:
+      if (word.kind == Word::Kind::kHelloBack && word.error == Error::kVoterUnknown && fault_.empty()) {
+        fault_ = "older, than what it promised to " + word.name;
+        log_.Tell<"council_disk">("older", fault_);
+        return;
+      }
       from.name = word.name;
-      if (word.disk != 0) known_[word.name] = {word.disk, word.index, word.address};
+      from.stale = false;
+      if (word.disk != 0) {
+        Known& known = known_[word.name];
+        from.stale = word.disk == known.disk &&
+                     (word.epoch < known.term || (word.epoch == known.term && word.index < known.agreed));
+        if (word.disk != known.disk) known = {};
+        known.disk = word.disk;
+        known.last = word.index;
+        known.address = word.address;
+      }
       if (known_.size() > 64) known_.erase(known_.begin());
-      if (word.kind == Word::Kind::kHello) links_->Answer(from.number, Hello(Word::Kind::kHelloBack));
+      if (word.kind == Word::Kind::kHello)
+        links_->Answer(from.number,
+                       Hello(Word::Kind::kHelloBack, from.stale ? Error::kVoterUnknown : Error::kNone));
       return;
     case Word::Kind::kPropose:
     case Word::Kind::kRead:
@@ -383,6 +401,28 @@
   }
 }
 
+// An answer rests on the disk of whoever gave it.
+void Council::Promised(const consensus::Message& message) {
+  using Kind = consensus::Message::Kind;
+  if (!message.yes || (message.kind != Kind::kAppendAnswer && message.kind != Kind::kVoteAnswer)) return;
+  const auto it = known_.find(message.from.name);
+  if (it == known_.end() || it->second.disk != message.from.disk || message.term < it->second.term) return;
+  Known& known = it->second;
+  if (message.term > known.term) known.agreed = 0;
+  known.term = message.term;
+  if (message.kind == Kind::kAppendAnswer) known.agreed = std::max(known.agreed, message.index);
+}
+
+// More voters have come back with other disks than the log can bear.
+bool Council::MajorityLost() const {
+  if (!VotedIn()) return false;
+  const auto lost = std::ranges::count_if(core_->voters(), [this](const consensus::Voter& voter) {
+    const auto it = known_.find(voter.id.name);
+    return it != known_.end() && it->second.disk != voter.id.disk;
+  });
+  return 2 * static_cast<size_t>(lost) >= core_->voters().size();
+}
+
 // ---- The core's way round --------------------------------------------------------------------------------
 
 void Council::Settle() {
@@ -1226,8 +1266,10 @@
   history_.push_back(std::to_string(machine_.Now() / kMs) + " ms: " + line);
 }
 
-std::string Council::Hello(Word::Kind kind) const {
+std::string Council::Hello(Word::Kind kind, Error error) const {
   Word word{.kind = kind, .name = setup_.name};
+  word.error = error;
+  word.epoch = core_ ? core_->term() : 0;
   word.disk = store_ && fault_.empty() ? store_->disk() : 0;
   word.index = core_ ? core_->last_index() : 0;
   word.address = settings_.told.empty() ? settings_.listen : settings_.told;
@@ -1260,6 +1302,7 @@
                   : core_ && !inside        ? "waits"
                   : LeaderAddress().empty() ? "no leader"
                                             : "in";
+  if (MajorityLost()) view.standing = "majority lost";
   view.disk = store_ ? store_->disk() : 0;
   view.applied = applied_;
   const std::vector<consensus::Voter>& voters = inside ? core_->voters() : follower_->voters();
@@ -1400,6 +1443,7 @@
     co_return Failed(Error::kMalformed, "Unknown question.");
   }
   const Word back = co_await AskLeader(std::move(word), until);
+  if (back.error == Error::kNoMajority && MajorityLost()) co_return Failed(Error::kMajorityLost);
   if (back.error == Error::kNone)
     co_return back.data.empty() ? "agreed, entry " + std::to_string(back.index) + "\n" : back.data;
   std::string missing;
--- a/src/council/council.h
+++ b/src/council/council.h
@@ -104,10 +104,13 @@
     council::Word word;
     uint64_t link = 0;  // 0: its own
   };
-  struct Known {  // of another voter, by its own word
+  // Of another voter, by its own word. What it promised is on its disk: it never comes back with less.
+  struct Known {
     uint64_t disk = 0;
     uint64_t last = 0;
     std::string address;
+    uint64_t term = 0;    // in which it last promised anything
+    uint64_t agreed = 0;  // in that term: its log through here
   };
   struct Asker {
     std::unique_ptr<Channel> channel;
@@ -133,6 +136,8 @@
   void Tell(const consensus::Notice& notice);
   void LeadOn();  // what a leader proposes by itself
   bool Leads() const { return core_ && core_->role() == consensus::Role::kLeader; }
+  bool MajorityLost() const;
+  void Promised(const consensus::Message& message);
   bool VotedIn() const { return core_ && core_->is_voter(); }
   const std::string& AddressOf(const std::string& name) const;
   std::string LeaderAddress() const;
@@ -171,7 +176,7 @@
   council::View ViewNow();
   std::vector<std::string> Missing() const;
   void Note(const std::string& line);
-  std::string Hello(council::Word::Kind kind) const;
+  std::string Hello(council::Word::Kind kind, owner::Error error = owner::Error::kNone) const;
 
   Machine& machine_;
   const CouncilSettings settings_;
--- a/src/council/links.h
+++ b/src/council/links.h
@@ -31,6 +31,7 @@
     std::string address;   // that was called; empty: it came in
     std::string name;      // as it said; empty: it has not
     bool follows = false;  // it asks for the log from outside
+    bool stale = false;    // a voter with an older disk than it promised on
     std::unique_ptr<Stream> stream;
     std::string in;
     std::deque<Frame> out;
--- a/src/council/word.h
+++ b/src/council/word.h
@@ -21,8 +21,8 @@
 // Fields that a kind doesn't name are 0 or empty.
 struct Word {
   enum class Kind : uint8_t {
-    kHello,      // name, disk, index: the last of its log; address: where it is reached
-    kHelloBack,  // likewise
+    kHello,      // name, disk, index: the last of its log; epoch: its term; address: where it is reached
+    kHelloBack,  // likewise; error: kVoterUnknown to one whose disk is older than what it promised
     kPropose,    // number, data: an entry's; 0: no answer is wanted
     kProposed,   // number, error, index; address: of the leader, with kNotLeader
     kRead,       // number, work: its epoch
--- a/src/lab/council/real_council.cpp
+++ b/src/lab/council/real_council.cpp
@@ -254,6 +254,9 @@
       case CouncilFault::kWipe:
         co_await Wipe(leader);
         break;
+      case CouncilFault::kOlder:
+        co_await Older(leader);
+        break;
       case CouncilFault::kDeafLeader:
       case CouncilFault::kMuteLeader:
         for (int i = 0; i < options_.members; ++i) {
@@ -337,8 +340,8 @@
 
   // A voter's folder is gone: it comes back as a new voter, and is in once the leader was told to bring it
   // in.
-  Task<> Wipe(int leader) {
-    int who = static_cast<int>(Draw64() % static_cast<uint64_t>(options_.voters));
+  Task<> Wipe(int leader, int who = -1) {
+    if (who < 0) who = static_cast<int>(Draw64() % static_cast<uint64_t>(options_.voters));
     if (who == leader) who = (who + 1) % options_.voters;
     Kill(who);
     if (!co_await Until("it has ended", [&] { return !children_.Running(who); })) co_return;
@@ -364,6 +367,33 @@
     }
   }
 
+  // Its files are those of before an entry that it has agreed to: it finds out, and votes no more as it was.
+  Task<> Older(int leader) {
+    int who = static_cast<int>(Draw64() % static_cast<uint64_t>(options_.voters));
+    if (who == leader) who = (who + 1) % options_.voters;
+    std::map<std::string, std::string> files;
+    for (const char* file : {".vote", ".snapshot", ".log"})
+      files[file] = machine_.files().Read(Stem(who) + file).value_or("");
+    const std::string said = co_await Ask(leader, "take-away " + std::string(kWork) + " lab older");
+    if (!said.starts_with("agreed")) co_return Fail("take-away: " + said);
+    const Micros until = machine_.Now() + kPatience;
+    while (played_.why_not.empty()) {
+      const auto now = nlohmann::json::parse(co_await Ask(who, "status json"), nullptr, false);
+      if (now.is_object() && now.value("applied", uint64_t{0}) >= acknowledged_) break;
+      if (machine_.Now() > until) Fail("never came: " + Name(who) + " has what was agreed");
+    }
+    Kill(who);
+    if (!co_await Until("it has ended", [&] { return !children_.Running(who); })) co_return;
+    for (const auto& [file, text] : files) {
+      std::string why;
+      if (!machine_.files().Replace(Stem(who) + file, text, why)) co_return Fail(why);
+    }
+    expects_older_ = who;
+    Start(who);
+    co_await Until("it finds its disk older", [this] { return expects_older_ < 0; });
+    co_await Wipe(leader, who);
+  }
+
   // All that run agree at the end, and have what was acknowledged.
   Task<> Closing() {
     const Micros until = machine_.Now() + kPatience;
@@ -528,6 +558,8 @@
       ++played_.obeyed;
     } else if (event == "council_refuses") {
       if (fields.value("error", "") == "fenced") ++played_.fenced;
+    } else if (event == "council_disk" && i == expects_older_ && fields.value("fault", "") == "older") {
+      expects_older_ = -1;
     } else if (event == "council_disk") {
       Break(Name(i) + "'s disk: " + fields.dump());
     }
@@ -567,7 +599,7 @@
   std::map<uint64_t, std::string> owners_;  // by epoch
   std::map<uint64_t, int> led_;             // by term
   uint64_t epoch_ = 0, term_ = 0, acknowledged_ = 0;
-  int owner_ = -1, leader_ = -1, pause_at_step_ = -1;
+  int owner_ = -1, leader_ = -1, pause_at_step_ = -1, expects_older_ = -1;
   bool owner_life_ = false;  // it has not ended since
   bool over_ = false;
   CouncilPlayed played_;
@@ -578,8 +610,8 @@
 const char* NameOf(CouncilFault fault) {
   constexpr const char* kNames[] = {"pause-at-step", "pause-owner", "pause-briefly", "pause-leader",
                                     "kill-owner",    "kill-leader", "kill-all",      "wipe",
-                                    "deaf-leader",   "mute-leader", "restart-owner", "incident",
-                                    "alone"};
+                                    "older",         "deaf-leader", "mute-leader",   "restart-owner",
+                                    "incident",      "alone"};
   return kNames[static_cast<size_t>(fault)];
 }
 
--- a/src/lab/council/real_council.h
+++ b/src/lab/council/real_council.h
@@ -28,13 +28,14 @@
   kKillLeader,
   kKillAll,       // at once, as when the power goes
   kWipe,          // a voter's folder, which then is a new voter
+  kOlder,         // a voter comes back with the files of before
   kDeafLeader,    // hears no other voter, and is heard
   kMuteLeader,    // hears the others, and is not heard
   kRestartOwner,  // in order
   kIncident,      // opened at one member: another's drain is refused until it is closed, or by broken glass
   kAlone,  // a member that hears nobody: its drain is refused, and an emergency goes on and is told later
 };
-constexpr int kCouncilFaults = 13;
+constexpr int kCouncilFaults = 14;
 const char* NameOf(CouncilFault fault);
 
 struct CouncilOptions {
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -364,7 +364,8 @@
      "Durable state can't be read or written. A voter does not vote until it is started on a whole folder, "
      "or "
      "on an empty one and brought in anew.",
-     {{{"fault", kText, "`unusable`, `damaged`, `another voter's`, `of two disks`, `missing` or `failed`"},
+     {{{"fault", kText,
+        "`unusable`, `damaged`, `another voter's`, `of two disks`, `missing`, `older` or `failed`"},
        {"why", kText, "the file, and what is wrong with it"}}}},
     {"council_disk_cut",
      LogLevel::kWarning,
