--- a/src/consensus/core.cpp
+++ b/src/consensus/core.cpp
@@ -69,6 +69,8 @@
       return "transfer-failed";
     case Notice::What::kDiskLost:
       return "disk-lost";
+    case Notice::What::kOlderDisk:
+      return "older-disk";
     case Notice::What::kDropped:
       return "dropped";
   }
@@ -338,6 +340,9 @@
     case Message::Kind::kTimeoutNow:
       if (message.term != term_ || leader_ != message.from || role_ == Role::kLeader || !is_voter()) return;
       return Stand(true);
+    case Message::Kind::kStop:
+      if (message.term < term_ || !FindVoter(message.from)) return;
+      return LoseDisk("older than its promises");
   }
 }
 
@@ -580,6 +585,7 @@
       while (hint > commit_ && hint >= log_first_ && At(hint).term == *own) --hint;
     }
     answer.index = std::max(hint, commit_);
+    answer.commit = last_index();
     return Answer(message, std::move(answer));
   }
   uint64_t match = message.index;
@@ -779,11 +785,20 @@
   if (found == peers_.end()) return Drop("not a voter", message.from);
   if (message.index > last_index() && message.yes) return Drop("beyond the log", message.from);
   Peer& peer = found->second;
+  // A no from a log that ends before what it said yes to. It answers what was sent after that yes had come:
+  // a no from before the yes may come later as well.
+  if (!message.yes && message.round > peer.match_round && message.commit < peer.match) {
+    Note(Notice::What::kOlderDisk, message.from, "", peer.match);
+    peer.stopped = true;
+    peer.match = peer.round = 0;
+  }
+  if (peer.stopped) return Send(peer.address, Make(Message::Kind::kStop, message.from));
   peer.heard_at = now_;
   peer.round = std::max(peer.round, std::min(message.round, round_));
   if (message.yes) {
     if (message.index > peer.match) {
       peer.match = message.index;
+      peer.match_round = round_;
       peer.next = std::max(peer.next, peer.match + 1);
       if (peer.sending && peer.match >= peer.sending->index) peer.sending.reset();
     }
@@ -807,11 +822,13 @@
   const auto found = peers_.find(message.from);
   if (found == peers_.end()) return Drop("not a voter", message.from);
   Peer& peer = found->second;
+  if (peer.stopped) return;
   peer.heard_at = now_;
   peer.round = std::max(peer.round, std::min(message.round, round_));
   if (peer.sending && peer.sending->index == message.index) {
     if (message.yes) {
       peer.match = std::max(peer.match, message.index);
+      peer.match_round = round_;
       peer.next = peer.match + 1;
       peer.sending.reset();
       peer.out = 0;
@@ -1095,6 +1112,46 @@
   return answer;
 }
 
+std::string Core::Fingerprint() const {
+  std::string all;
+  const auto number = [&all](uint64_t n) { all.append(std::to_string(n)).append(","); };
+  const auto who = [&all](const VoterId& id) {
+    all.append(id.name).append("#").append(std::to_string(id.disk)).append(",");
+  };
+  number(may_vote_ ? 1 : 0);
+  number(term_);
+  who(vote_.value_or(VoterId{}));
+  number(static_cast<uint64_t>(role_));
+  who(leader_.value_or(VoterId{}));
+  number(snapshot_->index);
+  number(log_first_);
+  for (const Entry& entry : log_) all.append(WriteEntry(entry));
+  for (const uint64_t n : {commit_, given_, durable_index_, own_term_index_, round_, read_round_}) number(n);
+  // Numbers of writes count on for ever: what matters is how far they are from done.
+  number(written_ - durable_);
+  number(vote_write_ > durable_ ? vote_write_ - durable_ : 0);
+  for (const auto& [mark, index] : marks_) number(index);
+  for (const Held& held : held_) {
+    number(held.number - durable_);
+    all.append(Write(held.outgoing.message, ""));
+  }
+  for (const VoterId& id : yes_) who(id);
+  number(handed_over_ ? 1 : 0);
+  for (const auto& [id, peer] : peers_) {
+    who(id);
+    for (const uint64_t n :
+         {peer.match, peer.next, peer.out, peer.round, peer.no_round, peer.match_round, peer.offset})
+      number(n);
+    number(peer.sending ? peer.sending->index : 0);
+  }
+  for (const WaitingRead& read : reads_) {
+    for (const uint64_t n : {read.token, read.round, read.index}) number(n);
+  }
+  if (joining_) who(joining_->voter.id);
+  if (handing_) who(handing_->to);
+  return all;
+}
+
 std::map<VoterId, Micros> Core::heard_at() const {
   std::map<VoterId, Micros> all;
   for (const auto& [id, peer] : peers_) all[id] = peer.heard_at;
