--- a/src/freeze/freeze.cpp
+++ b/src/freeze/freeze.cpp
@@ -9,6 +9,7 @@
 using owner::kLongestName;
 using owner::kLongestReason;
 
+constexpr Micros kLongestIncident = 366 * 24 * 3600 * kSecond;
 // Keys of leases: whose, and the change's id.
 const std::string kOfChange = "change ";
 const std::string kOfGrant = "grant ";
@@ -24,7 +25,7 @@
 bool CanBe(const Command& command) {
   using Kind = Command::Kind;
   if (command.by.size() > kLongestName || command.reason.size() > kLongestReason) return false;
-  if (command.lasts < 0) return false;
+  if (command.lasts < 0 || command.lasts > kLongestIncident) return false;
   const bool named = IsName(command.who.name);
   const bool by = !command.by.empty() && !command.reason.empty();
   switch (command.kind) {
--- a/src/freeze/freeze.h
+++ b/src/freeze/freeze.h
@@ -87,6 +87,9 @@
   bool undoing = false;  // kStep: the asker takes it for a step back; what is not so is refused
   Rules rules;
 };
+// What is proposed is what ReadCommand() makes of these bytes, at all replicas alike: the proposer reads them
+// back first, and refuses as malformed what it can't read (a text with control characters, one that is too
+// long).
 std::string Write(const Command& command);
 std::optional<Command> ReadCommand(std::string_view bytes);  // empty: damaged, of another version, too long
 
--- a/src/freeze/rules.cpp
+++ b/src/freeze/rules.cpp
@@ -22,15 +22,21 @@
 
 const char* NameOf(UnderWay how) { return how == UnderWay::kFinish ? "finish" : "undo"; }
 
+constexpr Micros kLongestSpan = 24 * 3600 * kSecond;
+
 const char* WhyNot(const Rules& rules) {
   if (rules.step_lease <= 0) return "step_lease must be above 0";
   if (rules.change_lease < rules.step_lease) return "change_lease must not be below step_lease";
+  if (rules.change_lease > kLongestSpan) return "change_lease must not be above a day";
   if (rules.most_balancers_of_zone < 1 || rules.most_nodes_of_group < 1) return "limits must be 1 at least";
   if (rules.table.size() > kMostRows) return "the table has too many lines";
   if (rules.betters.size() > kChangeKinds || rules.emergencies.size() > kChangeKinds) {
     return "a kind is named twice";
   }
   if (rules.ask_again <= 0 || rules.sight_lasts <= 0) return "a span must be above 0";
+  if (rules.ask_again > kLongestSpan || rules.sight_lasts > kLongestSpan) {
+    return "a span must not be above a day";
+  }
   if (rules.most_changes < 1 || rules.most_changes > kMostChanges) return "most_changes is out of range";
   if (rules.most_incidents < 1 || rules.most_incidents > kMostIncidents)
     return "most_incidents is out of range";
@@ -42,7 +48,10 @@
     if (!(sight.low < sight.high) || !(sight.low >= 0) || !(sight.high <= 1000)) {
       return "a sight's low share must be below its high one";
     }
-    if (sight.open_after < 0 || sight.close_after < 0) return "a sight's spans must not be negative";
+    if (sight.open_after < 0 || sight.close_after < 0 || sight.open_after > kLongestSpan ||
+        sight.close_after > kLongestSpan) {
+      return "a sight's spans must be from 0 to a day";
+    }
   }
   return "";
 }
--- a/src/owner/owner.cpp
+++ b/src/owner/owner.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::string_view kCommandBytes = "bfoc";
 constexpr std::string_view kStateBytes = "bfos";
+constexpr Micros kLongestLease = 3600 * kSecond;
 constexpr uint64_t kMostWorks = 1024;
 constexpr uint64_t kMostWaiting = 256;
 constexpr size_t kMostValues = 1 << 20;
@@ -62,9 +63,9 @@
     case Command::Kind::kFloor:
       return command.epoch <= kHighestFloor && !command.by.empty();
     case Command::Kind::kRules:
-      return command.rules.lease > 0 && command.rules.most_works >= 1 &&
-             command.rules.most_works <= kMostWorks && command.rules.most_waiting >= 1 &&
-             command.rules.most_waiting <= kMostWaiting;
+      return command.rules.lease > 0 && command.rules.lease <= kLongestLease &&
+             command.rules.most_works >= 1 && command.rules.most_works <= kMostWorks &&
+             command.rules.most_waiting >= 1 && command.rules.most_waiting <= kMostWaiting;
   }
   return false;
 }
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -74,6 +74,9 @@
   std::string reason;
   Rules rules;
 };
+// What is proposed is what ReadCommand() makes of these bytes, at all replicas alike: the proposer reads them
+// back first, and refuses as malformed what it can't read (a text with control characters, one that is too
+// long).
 std::string Write(const Command& command);
 std::optional<Command> ReadCommand(std::string_view bytes);  // empty: damaged, of another version, too long
 
