--- a/src/ejection/rules.h
+++ b/src/ejection/rules.h
@@ -41,6 +41,7 @@
   double answered_good = 4;           // good words for each vote, and at least
   uint32_t answered_least = 20;       // so many of them: the question is closed
   Micros listen = 1 * kSecond;        // from the question to the first count
+  Micros listen_long = 5 * kSecond;   // where all fails for some and nothing for others
   Micros ask_back = 3 * kSecond;      // before the question, at most, results are asked for as well
   Micros relapse_ask = 10 * kSecond;  // after a return, grace first, all tell unasked for so long
   double odds_asked = 3;        // as `sure`, for a vote in question; good words where they are not above even
--- a/src/ejection/saved.cpp
+++ b/src/ejection/saved.cpp
@@ -115,7 +115,7 @@
     to.pack(one.until);
   }
   PutTexts(to, std::vector<std::string>(suspects_.begin(), suspects_.end()));
-  to.pack_array(0);  // room for more
+  to.pack(counted_at_);
   return Frame(kMagic, body);
 }
 
@@ -224,6 +224,7 @@
       state.forbidden_[host] = std::move(about);
     }
     for (std::string& name : Texts(from.Array(kMostItems))) state.suspects_.insert(std::move(name));
+    state.counted_at_ = from.Span();
     return state;
   });
 }
--- a/src/ejection/state.cpp
+++ b/src/ejection/state.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 namespace burlfall::ejection {
@@ -512,8 +513,9 @@
     count.cls = first || count.cls == vote.cls ? vote.cls : kSeveralClasses;
     first = false;
   }
-  // Where little is known, good words speak against the votes in full.
-  count.share = std::clamp((failed + 1) / (trials + 1), rules_.bad_share, 1.0);
+  // The upper side of what it may be: where little is known, good words speak against the votes in full.
+  const double likely = (failed + 1) / (trials + 1) + 0.5 / std::sqrt(trials + 1);
+  count.share = std::clamp(likely, rules_.bad_share, 1.0);
   count.raw_share = trials > 0 ? std::clamp(failed / trials, rules_.bad_share, 1.0) : 1;
   count.kind = static_cast<Kind>(std::ranges::max_element(kinds) - kinds.begin());
   for (const auto& [key, word] : one.goods) {
@@ -555,7 +557,11 @@
     effects.push_back(std::move(effect));
     return false;
   }
-  return voters > count.goods || rules_.planted.goods_ignored;
+  if (rules_.planted.goods_ignored) return true;
+  // All fails for some, and nothing for others: not the host as a whole, perhaps. The rest is heard as well.
+  const bool mixed = 4 * count.goods >= voters && count.raw_share >= 0.8;
+  if (mixed && at_ < one.asked_at + rules_.listen_long) return false;
+  return voters > count.goods;
 }
 
 // More hosts accused than may be out, and not by one zone alone: no host's own fault.
@@ -623,6 +629,7 @@
 
 void State::CountAll(Effects& effects) {
   dirty_ = false;
+  counted_at_ = at_;
   const bool many = Many() && !rules_.planted.cap_ignored;
   std::vector<std::pair<std::string, Count>> meet;
   std::vector<std::string> answered;
@@ -723,7 +730,9 @@
   for (const auto& [host, one] : cases_) {
     for (const auto& [key, word] : one.votes) next = std::min(next, word.until);
     for (const auto& [key, word] : one.goods) next = std::min(next, word.until);
-    if (one.asked && at_ < one.asked_at + rules_.listen) next = std::min(next, one.asked_at + rules_.listen);
+    for (const Micros listen : {rules_.listen, rules_.listen_long}) {
+      if (one.asked && at_ < one.asked_at + listen) next = std::min(next, one.asked_at + listen);
+    }
     if (at_ < one.asked_until) next = std::min(next, one.asked_until);
   }
   for (const auto& [host, ejection] : ejections_) {
@@ -735,9 +744,12 @@
 }
 
 bool State::ToCount(Micros at) const {
-  return dirty_ && std::ranges::any_of(cases_, [&](const auto& one) {
-           return one.second.asked && at >= one.second.asked_at + rules_.listen;
-         });
+  return std::ranges::any_of(cases_, [&](const auto& one) {
+    const Micros asked_at = one.second.asked_at;
+    if (!one.second.asked || at < asked_at + rules_.listen) return false;
+    // Once more when the long listening ends, also where nothing was told in between.
+    return dirty_ || (counted_at_ < asked_at + rules_.listen_long && at >= asked_at + rules_.listen_long);
+  });
 }
 
 std::vector<std::string> State::InQuestion() const {
--- a/src/ejection/state.h
+++ b/src/ejection/state.h
@@ -299,6 +299,7 @@
   Micros at_ = 0;
   uint64_t owner_index_ = 0;  // at which its epoch was first seen
   bool dirty_ = false;        // something to count
+  Micros counted_at_ = 0;
   bool incident_ = false;
   Micros calm_since_ = kNever;
   double used_ = 0;
