--- a/src/lab/ejection_world/fleet.cpp
+++ b/src/lab/ejection_world/fleet.cpp
@@ -114,12 +114,13 @@
   explicit Fleet(const Plan& plan)
       : plan_(plan), chance_(plan.seed), state_(plan.rules), twin_(plan.rules), judge_(plan.rules, kLate) {
     for (size_t i = 0; i < plan.hosts; ++i) {
-      sites_.push_back({"h" + std::to_string(i), i % plan.zones, 1, true, false, false, {}});
+      sites_.push_back(
+          {std::string("h").append(std::to_string(i)), i % plan.zones, 1, true, false, false, {}});
       by_name_[sites_.back().name] = i;
     }
     for (const Trouble& trouble : plan.troubles) sites_[trouble.host].troubles.push_back(&trouble);
     for (size_t i = 0; i < plan.balancers; ++i) {
-      const std::string name = "b" + std::to_string(i), zone = Zone(i % plan.zones);
+      const std::string name = std::string("b").append(std::to_string(i)), zone = Zone(i % plan.zones);
       One one{name,
               i % plan.zones,
               (i / plan.zones) % plan.builds,
