--- a/src/lab/ejection_world/fleet.cpp
+++ b/src/lab/ejection_world/fleet.cpp
@@ -114,12 +114,13 @@
   explicit Fleet(const Plan& plan)
       : plan_(plan), chance_(plan.seed), state_(plan.rules), twin_(plan.rules), judge_(plan.rules, kLate) {
     for (size_t i = 0; i < plan.hosts; ++i) {
-      sites_.push_back({"h" + std::to_string(i), i % plan.zones, 1, true, false, false, {}});
+      sites_.push_back(
+          {std::string("h").append(std::to_string(i)), i % plan.zones, 1, true, false, false, {}});
       by_name_[sites_.back().name] = i;
     }
     for (const Trouble& trouble : plan.troubles) sites_[trouble.host].troubles.push_back(&trouble);
     for (size_t i = 0; i < plan.balancers; ++i) {
-      const std::string name = "b" + std::to_string(i), zone = Zone(i % plan.zones);
+      const std::string name = std::string("b").append(std::to_string(i)), zone = Zone(i % plan.zones);
       One one{name,
               i % plan.zones,
               (i / plan.zones) % plan.builds,
@@ -311,7 +312,9 @@
   void Lose(size_t host) {
     ++figures_.lost;
     if (now_ < plan_.measured_from + 60 * kSecond) ++figures_.lost_minute;
-    if (host < sites_.size() && !sites_[host].troubles.empty()) ++figures_.lost_at_troubled;
+    if (host >= sites_.size() || sites_[host].troubles.empty()) return;
+    ++figures_.lost_at_troubled;
+    if (now_ < plan_.measured_from + 60 * kSecond) ++figures_.lost_at_troubled_minute;
   }
 
   void Answer(const Happens& end) {
@@ -328,7 +331,7 @@
       event.at = now_;
       event.balancer = one.name;
       event.host = name;
-      event.good = !failed && !late;
+      event.good = !failed && 3 * end.took < plan_.patience;  // slow against the others, before it is late
       judge_.Hear(event);
       if (end.told) {
         Propose(end.balancer, one.evidence.Trial(name, end.life, late && !failed ? Kind::kSlow : failed));
