--- a/src/council/council.cpp
+++ b/src/council/council.cpp
@@ -582,7 +582,14 @@
     case What::kJoinFailed:
       log_.Tell<"council_join_failed">(notice.who.name, notice.text);
       break;
-    case What::kDiskLost:  // told where it was found
+    case What::kOlderDisk:  // its own log says so too
+      Dropped("what rests on an older disk", notice.who.name);
+      break;
+    case What::kDiskLost:  // told where it was found; but others may have found it
+      if (!fault_.empty()) break;
+      fault_ = "older, " + notice.text;
+      log_.Tell<"council_disk">("older", notice.text);
+      break;
     case What::kJoined:
     case What::kTransferFailed:
       break;
@@ -1101,7 +1108,10 @@
       if (command.kind == owner::Command::Kind::kWant) hint_.clear(), ++turn_;
       Post(council::Envelope(command));
     }
-    if (held.holder.stopping()) held.holder.GiveUp();
+    if (held.holder.stopping()) {
+      held.holder.GiveUp();
+      held.holder.Want();  // behind the others
+    }
     if (held.holder.owns() && now >= held.act_at && !left_) {
       const uint64_t had = held.holder.epoch();
       const owner::Permit permit = held.holder.MayAct(now);
--- a/tests/service/control_call_test.cpp
+++ b/tests/service/control_call_test.cpp
@@ -12,6 +12,8 @@
   Verdict PutBack(std::string_view server) override { return Say("back " + std::string(server)); }
   Verdict StandAside() override { return Say("aside"); }
   Verdict ComeBack() override { return Say("come back"); }
+  Task<Leave> MayBegin(ChangeCall) override { co_return Leave(); }
+  Task<> Ended(Leave) override { co_return; }
   Verdict Say(const std::string& what) {
     last = what;
     return verdict;
@@ -74,5 +76,25 @@
   EXPECT_EQ(told.last, "");
 }
 
+TEST(ControlCall, WhatACallWouldChangeIsReadBeforeItIsCarriedOut) {
+  HttpMessage call;
+  call.method = "POST";
+  call.target = "/nodes/a%2Fb/maint?by=staff&reason=it%20burns";
+  const std::optional<ChangeCall> change = ChangeOf(call);
+  ASSERT_TRUE(change);
+  EXPECT_EQ(change->what, ChangeCall::What::kTakeOut);
+  EXPECT_EQ(change->server, "a/b");
+  EXPECT_EQ(change->by, "staff");
+  EXPECT_EQ(change->reason, "it burns");
+  for (const char* nothing : {"/up", "/nodes/a", "/nodes/a/other"}) {
+    call.target = nothing;
+    EXPECT_FALSE(ChangeOf(call)) << nothing;
+  }
+  const std::string refused =
+      AnswerRefused({.granted = false, .why = "frozen: incident 7", .retry = 1500 * kMs});
+  EXPECT_EQ(refused.substr(0, 12), "HTTP/1.1 409");
+  EXPECT_NE(refused.find("\r\nRetry-After: 2\r\n"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace burlfall
