--- a/src/lab/council/real_council.cpp
+++ b/src/lab/council/real_council.cpp
@@ -374,13 +374,16 @@
     std::map<std::string, std::string> files;
     for (const char* file : {".vote", ".snapshot", ".log"})
       files[file] = machine_.files().Read(Stem(who) + file).value_or("");
-    const std::string said = co_await Ask(leader, "take-away " + std::string(kWork) + " lab older");
-    if (!said.starts_with("agreed")) co_return Fail("take-away: " + said);
-    const Micros until = machine_.Now() + kPatience;
-    while (played_.why_not.empty()) {
-      const auto now = nlohmann::json::parse(co_await Ask(who, "status json"), nullptr, false);
-      if (now.is_object() && now.value("applied", uint64_t{0}) >= acknowledged_) break;
-      if (machine_.Now() > until) Fail("never came: " + Name(who) + " has what was agreed");
+    // It is sent a second entry only once the leader has its yes to the first.
+    for (int n = 0; n < 2; ++n) {
+      const std::string said = co_await Ask(leader, "take-away " + std::string(kWork) + " lab older");
+      if (!said.starts_with("agreed")) co_return Fail("take-away: " + said);
+      const Micros until = machine_.Now() + kPatience;
+      while (played_.why_not.empty()) {
+        const auto now = nlohmann::json::parse(co_await Ask(who, "status json"), nullptr, false);
+        if (now.is_object() && now.value("applied", uint64_t{0}) >= acknowledged_) break;
+        if (machine_.Now() > until) Fail("never came: " + Name(who) + " has what was agreed");
+      }
     }
     Kill(who);
     if (!co_await Until("it has ended", [&] { return !children_.Running(who); })) co_return;
