--- a/src/world/virtual_machine.h
+++ b/src/world/virtual_machine.h
@@ -72,12 +72,12 @@
   size_t MostDescriptors() override { return descriptors; }
   size_t ResidentBytes() override { return 0; }
 
-  size_t descriptors;      // that may be open
-  size_t open = 0;         // that are
-  bool disk_full = false;  // nothing more can be written
+  size_t descriptors;        // that may be open
+  size_t open = 0;           // that are
+  bool disk_full = false;    // nothing more can be written
   bool flush_fails = false;  // the next flush does, once: what was written is there, and nobody may trust it
-  Micros wall_off = 0;     // what the clock on the wall is ahead of the true time
-  std::string said;        // on standard error
+  Micros wall_off = 0;       // what the clock on the wall is ahead of the true time
+  std::string said;          // on standard error
 
  private:
   World& world_;
