--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <functional>
+#include <map>
 #include <utility>
 
 namespace burlfall {
@@ -75,7 +76,8 @@
 }  // namespace
 
 Program::Program(Machine& machine, Config config, const Properties& properties, Log& log, Counters& counters,
-                 const std::optional<StartSettings>& start, const std::optional<ClusterSettings>& cluster)
+                 const std::optional<StartSettings>& start, const std::optional<ClusterSettings>& cluster,
+                 const std::optional<CouncilSettings>& council)
     : machine_(machine),
       config_(std::move(config)),
       log_(log),
@@ -93,6 +95,7 @@
           machine.scheduler(), config_.settings, config_.seed, upstream_, [this] { discovery_.Follow(); },
           counters_),
       front_({machine, config_, dispatcher_, budget_, tokens_, door_, figures_.get(), counters_, NotReady()}),
+      council_settings_(council),
       cluster_(cluster),
       moved_(machine.scheduler()),
       sweep_(machine.scheduler()) {
@@ -115,8 +118,17 @@
   front_.OnNothingOwed([this] { moved_.Notify(); });
 }
 
-// As a member of the cluster. Of the two processes of an upgrade it is the one that has the door.
+// As a member of the cluster and the council. Of the two processes of an upgrade it is the one that has the
+// door.
 void Program::Join() {
+  if (council_settings_) {
+    const std::string& place = Named(config_, council_settings_->folder);
+    council_ = std::make_unique<Council>(
+        machine_, *council_settings_,
+        Council::Setup{config_.name, PathFor(config_, place, ""), place, [this] { return SightsNow(); }},
+        log_, counters_);
+    council_->Start();
+  }
   if (!cluster_) return;
   const ClusterSettings& cluster = *cluster_;
   ClusterMember::Setup setup;
@@ -133,6 +145,35 @@
   member_->Start();
 }
 
+// Shares of the balancers, by zone and in all: who died lately, and who has no list.
+std::vector<Council::Setup::Sight> Program::SightsNow() const {
+  std::vector<Council::Setup::Sight> sights;
+  if (!member_) return sights;
+  const Micros now = machine_.Now();
+  struct Seen {
+    double all = 0, dead = 0;
+  };
+  std::map<std::string, Seen> zones;
+  zones[cluster_->zone].all += 1;
+  double alive = 1, without_list = hosts_.version() == 0 ? 1 : 0;
+  for (const auto& [name, member] : member_->mind().members()) {
+    const bool dead = member.state == cluster::State::kDead;
+    if (member.state == cluster::State::kLeft || (dead && now - member.since > kCountsFor)) continue;
+    Seen& zone = zones[member.facts.zone];
+    zone.all += 1;
+    zone.dead += dead ? 1 : 0;
+    alive += dead ? 0 : 1;
+    without_list += !dead && member.facts.list_version == 0 ? 1 : 0;
+  }
+  using freeze::IncidentKind;
+  for (const auto& [name, zone] : zones) {
+    if (!name.empty())
+      sights.push_back({IncidentKind::kZoneDown, freeze::Scope::Zone(name), zone.dead / zone.all});
+  }
+  sights.push_back({IncidentKind::kNoLists, freeze::Scope::Site(), without_list / alive});
+  return sights;
+}
+
 // What other balancers are told of this one.
 cluster::Facts Program::FactsNow() const {
   cluster::Facts facts;
@@ -436,6 +477,60 @@
   return phase_ == Phase::kServing || phase_ == Phase::kHandedOver ? Verdict::kDone : Verdict::kNotNow;
 }
 
+// Without a council each balancer decides by itself.
+Task<Leave> Program::MayBegin(ChangeCall call) {
+  using What = ChangeCall::What;
+  if (!council_ || phase_ == Phase::kStarting) co_return Leave();
+  freeze::Scope scope = freeze::Scope::Balancer(config_.name, cluster_ ? cluster_->zone : "");
+  freeze::ChangeKind kind =
+      call.what == What::kStandAside ? freeze::ChangeKind::kDrain : freeze::ChangeKind::kUndrain;
+  if (call.what == What::kTakeOut || call.what == What::kPutBack) {
+    const bool out = call.what == What::kTakeOut;
+    // What is so already, or can't be, changes nothing.
+    if (!hosts_.Names(call.server) || hosts_.IsOut(call.server) == out) co_return Leave();
+    kind = out ? freeze::ChangeKind::kNodeOut : freeze::ChangeKind::kNodeBack;
+    scope = freeze::Scope::Node(call.server, "", "");
+    for (const HostRecord& host : hosts_.Records()) {
+      if (host.name != call.server) continue;
+      scope = freeze::Scope::Node(call.server, std::to_string(host.zone), std::to_string(host.kind));
+    }
+  } else if ((phase_ == Phase::kAside) == (call.what == What::kStandAside)) {
+    co_return Leave();
+  }
+  co_return co_await Leaving(kind, scope, std::move(call.by), std::move(call.reason));
+}
+
+Task<Leave> Program::MayReload() {
+  if (!council_) co_return Leave();
+  co_return co_await Leaving(freeze::ChangeKind::kReload,
+                             freeze::Scope::Balancer(config_.name, cluster_ ? cluster_->zone : ""), "", "");
+}
+
+Task<Leave> Program::Leaving(freeze::ChangeKind kind, freeze::Scope scope, std::string by,
+                             std::string reason) {
+  const Council::Permission permission =
+      co_await council_->Ask(kind, std::move(scope), std::move(by), std::move(reason));
+  Leave leave;
+  leave.granted = permission.error == owner::Error::kNone;
+  leave.change = permission.change;
+  leave.epoch = permission.epoch;
+  leave.retry = permission.retry;
+  if (leave.granted) co_return leave;
+  leave.why = std::string(owner::NameOf(permission.error)) + ": " + owner::WhatToDo(permission.error);
+  if (!permission.text.empty()) leave.why += " " + permission.text;
+  if (permission.retry > 0)
+    leave.why += "; ask again in " + std::to_string(permission.retry / kSecond) + " s";
+  co_return leave;
+}
+
+Task<> Program::Ended(Leave leave) {
+  if (!council_ || leave.change == 0) co_return;
+  Council::Permission permission;
+  permission.change = leave.change;
+  permission.epoch = leave.epoch;
+  co_await council_->Done(permission);
+}
+
 void Program::SetAside(bool aside) {
   if (phase_ != (aside ? Phase::kServing : Phase::kAside)) return;
   phase_ = aside ? Phase::kAside : Phase::kServing;
@@ -480,6 +575,10 @@
   log_.Tell<"handed_over">(front_.open(), dispatcher_.open());
   front_.Shut();
   member_.reset();  // without a word: the heir goes on in its place, and nobody misses it
+  if (council_) {   // likewise; its disk and its address are the heir's
+    council_->Shut();
+    councils_before_.push_back(std::move(council_));
+  }
   hosts_.LeaveCold(true, machine_.Now());
   HostsChanged();
   upstream_.RetireAll();
@@ -618,6 +717,7 @@
   }
   if (handover_) handover_->End();
   if (member_) member_->Leave();
+  if (council_) council_->Leave();
   co_await Closing();
   phase_ = Phase::kStopped;
   machine_.scheduler().Stop();
--- a/src/serve/program.h
+++ b/src/serve/program.h
@@ -11,11 +11,13 @@
 #include <vector>
 
 #include "config/cluster_settings.h"
+#include "config/council_settings.h"
 #include "config/platform_config.h"
 #include "config/properties.h"
 #include "config/start_settings.h"
 #include "control/control_front.h"
 #include "control/operations.h"
+#include "council/council.h"
 #include "dispatch/dispatcher.h"
 #include "front/http_front.h"
 #include "gates/door.h"
@@ -53,12 +55,18 @@
   // Binds the addresses; throws std::system_error where that can't be done. `log` and `counters` must outlive
   // it.
   // `start`: the operators' settings of the start; without them nothing of src/start is on. `cluster`: those
-  // of the cluster; without them it knows of no other balancer.
+  // of the cluster; without them it knows of no other balancer. `council`: those of what is decided together;
+  // without them it asks nobody and nobody asks it.
   Program(Machine& machine, Config config, const Properties& properties, Log& log, Counters& counters,
-          const std::optional<StartSettings>& start = {}, const std::optional<ClusterSettings>& cluster = {});
+          const std::optional<StartSettings>& start = {}, const std::optional<ClusterSettings>& cluster = {},
+          const std::optional<CouncilSettings>& council = {});
 
   void Start();
   void Drain();  // ends, in order: the scheduler stops once it has
+  // Whether what SIGHUP asks for may be done now; where it may not, that is in the log. To be told by
+  // Ended().
+  Task<Leave> MayReload();
+  Task<> ReloadEnded(Leave leave) { return Ended(std::move(leave)); }
   // Takes up a configuration read anew: where discovery is, and the descriptors it allows. The rest holds
   // until the next start; false where it differs.
   bool Reload(Config config);
@@ -76,6 +84,8 @@
   Verdict PutBack(std::string_view server) override;
   Verdict StandAside() override;
   Verdict ComeBack() override;
+  Task<Leave> MayBegin(ChangeCall call) override;
+  Task<> Ended(Leave leave) override;
 
   // What the other process of a hand-over tells it.
   std::optional<Estate> GiveUpDoor(std::string& why) override;
@@ -89,6 +99,7 @@
   void OtherPutBack(const NodeCall& call) override;
   void OtherDrains(bool drains) override;
 
+  Task<Leave> Leaving(freeze::ChangeKind kind, freeze::Scope scope, std::string by, std::string reason);
   Task<> Begin();
   void BeginAlone();
   std::function<std::optional<Micros>(Micros)> NotReady();
@@ -103,6 +114,7 @@
   void ShareByMembers();
   void Join();
   cluster::Facts FactsNow() const;
+  std::vector<Council::Setup::Sight> SightsNow() const;
   bool TakeOver(const Estate& estate);
   void SetAside(bool aside);
   void TellUse();
@@ -138,6 +150,9 @@
   Dispatcher dispatcher_;
   std::unique_ptr<Capture> capture_;
   HttpFront front_;
+  const std::optional<CouncilSettings> council_settings_;
+  std::unique_ptr<Council> council_;
+  std::vector<std::unique_ptr<Council>> councils_before_;  // shut: a call may still wait in one
   std::optional<ControlFront> control_;
   std::optional<Handover> handover_;
   const std::optional<ClusterSettings> cluster_;
