--- a/tests/ejection/world_test.cpp
+++ b/tests/ejection/world_test.cpp
@@ -67,16 +67,16 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Planted, Faults,
-    testing::Values(Fault{"CountsTwice", 100, [](Planted& p) { p.counts_twice = true; }},
-                    Fault{"OldLife", 100, [](Planted& p) { p.old_life = true; }},
-                    Fault{"SuspectsCount", 100, [](Planted& p) { p.suspects_count = true; }},
-                    Fault{"ZonesIgnored", 100, [](Planted& p) { p.zones_ignored = true; }},
-                    Fault{"GoodsIgnored", 100, [](Planted& p) { p.goods_ignored = true; }},
-                    Fault{"CapForgotten", 100, [](Planted& p) { p.cap_forgotten = true; }},
-                    Fault{"CapIgnored", 100, [](Planted& p) { p.cap_ignored = true; }},
-                    Fault{"NeverEnds", 100, [](Planted& p) { p.never_ends = true; }},
-                    Fault{"LastHost", 100, [](Planted& p) { p.last_host = true; }},
-                    Fault{"NumbersBelieved", 100, [](Planted& p) { p.numbers_believed = true; }}),
+    testing::Values(Fault{"CountsTwice", 200, [](Planted& p) { p.counts_twice = true; }},
+                    Fault{"OldLife", 200, [](Planted& p) { p.old_life = true; }},
+                    Fault{"SuspectsCount", 200, [](Planted& p) { p.suspects_count = true; }},
+                    Fault{"ZonesIgnored", 200, [](Planted& p) { p.zones_ignored = true; }},
+                    Fault{"GoodsIgnored", 200, [](Planted& p) { p.goods_ignored = true; }},
+                    Fault{"CapForgotten", 200, [](Planted& p) { p.cap_forgotten = true; }},
+                    Fault{"CapIgnored", 200, [](Planted& p) { p.cap_ignored = true; }},
+                    Fault{"NeverEnds", 200, [](Planted& p) { p.never_ends = true; }},
+                    Fault{"LastHost", 200, [](Planted& p) { p.last_host = true; }},
+                    Fault{"NumbersBelieved", 200, [](Planted& p) { p.numbers_believed = true; }}),
     [](const auto& about) { return about.param.name; });
 
 }  // namespace
