--- a/src/ejection/evidence.cpp
+++ b/src/ejection/evidence.cpp
@@ -343,9 +343,13 @@
   std::vector<Command> commands;
   std::vector<std::string> changed = std::move(changed_);
   changed_.clear();
-  for (auto& [host, seen] : hosts_) {
-    if (seen.said == Said::kNothing || seen.changed) continue;
-    if (seen.said_until - now <= rules_.tell_again) changed.push_back(host);
+  if (now >= tell_at_) {
+    tell_at_ = kNever;
+    for (const auto& [host, seen] : hosts_) {
+      if (seen.said == Said::kNothing) continue;
+      if (seen.said_until - now <= rules_.tell_again && !seen.changed) changed.push_back(host);
+      tell_at_ = std::min(tell_at_, std::max(now + kSecond, seen.said_until - rules_.tell_again));
+    }
   }
   for (const std::string& host : changed) {
     const auto at = hosts_.find(host);
@@ -395,17 +399,12 @@
     seen.said = opinion.said;
     seen.said_trials = opinion.sum.trials;
     seen.said_until = now + rules_.vote_lasts;
+    tell_at_ = std::min(tell_at_, seen.said_until - rules_.tell_again);
     commands.push_back(std::move(command));
   }
   return commands;
 }
 
-Micros Evidence::next_at() const {
-  Micros next = changed_.empty() ? kNever : 0;
-  for (const auto& [host, seen] : hosts_) {
-    if (seen.said != Said::kNothing) next = std::min(next, seen.said_until - rules_.tell_again);
-  }
-  return next;
-}
+Micros Evidence::next_at() const { return changed_.empty() ? tell_at_ : 0; }
 
 }  // namespace burlfall::ejection
--- a/src/ejection/evidence.h
+++ b/src/ejection/evidence.h
@@ -113,6 +113,7 @@
   std::string zone_;
   std::map<std::string, Seen> hosts_;
   std::map<uint32_t, OfClass> classes_;
+  Micros tell_at_ = kNever;           // something that was said is due again
   std::vector<std::string> changed_;  // hosts to be judged at the next Tell
 };
 
--- a/src/lab/ejection_world/judge.cpp
+++ b/src/lab/ejection_world/judge.cpp
@@ -16,6 +16,11 @@
   return balancer.hosts.empty() || std::ranges::find(balancer.hosts, host) != balancer.hosts.end();
 }
 
+std::string Pair(const std::string& balancer, const std::string& host) {
+  std::string key = balancer;
+  return key.append(1, ' ').append(host);
+}
+
 size_t CapOf(double share, size_t of) {
   return std::max<size_t>(1, static_cast<size_t>(share * static_cast<double>(of) + 1e-9));
 }
@@ -55,7 +60,7 @@
       continue;
     }
     // It must have seen a failure itself.
-    const auto seen = failed_.find({vote.balancer, out.host});
+    const auto seen = failed_.find(Pair(vote.balancer, out.host));
     if (seen == failed_.end() || seen->second + rules_.window + kSecond < one.at) continue;
     voters.insert(vote.balancer);
     zones.insert(vote.zone);
@@ -77,8 +82,8 @@
   for (const ejection::Balancer& one : groups_.back().second.balancers) {
     if (!Uses(one, out.host)) continue;
     ++users;
-    const auto failed = failed_.find({one.name, out.host});
-    const auto served = served_.find({one.name, out.host});
+    const auto failed = failed_.find(Pair(one.name, out.host));
+    const auto served = served_.find(Pair(one.name, out.host));
     if (served == served_.end() || served->second + rules_.window < out.at) continue;
     clean += failed == failed_.end() || failed->second + rules_.window < out.at ? 1 : 0;
   }
@@ -165,9 +170,9 @@
       break;
     case Event::What::kResult:
       if (event.good) {
-        served_[{event.balancer, event.host}] = event.at;
+        served_[Pair(event.balancer, event.host)] = event.at;
       } else {
-        last_failed_[event.host] = failed_[{event.balancer, event.host}] = event.at;
+        last_failed_[event.host] = failed_[Pair(event.balancer, event.host)] = event.at;
       }
       break;
     case Event::What::kByHand:
--- a/src/lab/ejection_world/judge.h
+++ b/src/lab/ejection_world/judge.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "ejection/rules.h"
@@ -78,10 +79,10 @@
       groups_;                                     // the newest last; those that may still be believed
   std::map<std::string, std::deque<Said>> votes_;  // by host
   std::map<std::string, std::deque<std::pair<Micros, std::set<std::string>>>> truth_;
-  std::map<std::pair<std::string, std::string>, Micros> failed_;  // by balancer and host, its last
-  std::map<std::pair<std::string, std::string>, Micros> served_;  // its last good answer
-  std::map<std::string, Micros> last_failed_;                     // by host
-  std::map<std::string, std::map<std::string, Out>> out_;         // by balancer, host
+  std::unordered_map<std::string, Micros> failed_;         // by balancer and host, its last
+  std::unordered_map<std::string, Micros> served_;         // its last good answer
+  std::map<std::string, Micros> last_failed_;              // by host
+  std::map<std::string, std::map<std::string, Out>> out_;  // by balancer, host
   std::map<std::string, Micros> by_hand_;
   std::set<std::pair<std::string, uint64_t>> ejected_;  // host, number
   Micros checked_ = 0;
