--- a/src/ejection/evidence.cpp
+++ b/src/ejection/evidence.cpp
@@ -284,19 +284,23 @@
   return best;
 }
 
-Evidence::Opinion Evidence::Judge(Micros now, const Seen& seen) const {
+Evidence::Opinion Evidence::Judge(Micros now, Seen& seen) const {
   Opinion opinion;
-  if (OthersFail(now, seen)) return opinion;
+  if (OthersFail(now, seen)) {
+    seen.doubtful_until = now;  // what failed until now says nothing later, either
+    return opinion;
+  }
+  const Micros oldest = std::max(now - rules_.window, seen.doubtful_until);
   uint64_t trials = 0;
-  for (const auto& [cls, ring] : seen.classes) trials += SumOf(ring, now - rules_.window).trials;
-  Sum worst = Worst(now, seen, now - rules_.window);
+  for (const auto& [cls, ring] : seen.classes) trials += SumOf(ring, oldest).trials;
+  Sum worst = Worst(now, seen, oldest);
   // With many results there are many spans to be unlucky in.
   const double sure = rules_.sure + std::max(0.0, std::log(static_cast<double>(trials) / 8));
   if (worst.odds >= sure && worst.trials >= rules_.least_trials && worst.failed >= rules_.least_trials) {
     opinion.said = Said::kSure;
   } else if (seen.asked) {
     const Micros width = rules_.window / std::max(1u, rules_.buckets);
-    const Micros since = seen.asked_at - width;
+    const Micros since = std::max(oldest, seen.asked_at - width);
     worst = Worst(now, seen, since);
     Sum all;
     uint32_t most = 0;
--- a/src/ejection/evidence.h
+++ b/src/ejection/evidence.h
@@ -71,8 +71,9 @@
   struct Seen {
     Life life = 0;
     std::map<uint32_t, Ring> classes;
-    Micros used = 0;        // last result
-    Micros deaf_until = 0;  // grace
+    Micros used = 0;            // last result
+    Micros deaf_until = 0;      // grace
+    Micros doubtful_until = 0;  // the other hosts failed as well
     bool asked = false;
     Micros asked_at = 0;
     bool out = false;
@@ -104,7 +105,7 @@
     uint32_t cls = kSeveralClasses;
     uint32_t others = 0;  // good answers of the other classes
   };
-  Opinion Judge(Micros now, const Seen& seen) const;
+  Opinion Judge(Micros now, Seen& seen) const;
   void Mark(const std::string& host, Seen& seen);
   static void Clear(Seen& seen);
 
