--- a/src/ejection/evidence.cpp
+++ b/src/ejection/evidence.cpp
@@ -284,19 +284,23 @@
   return best;
 }
 
-Evidence::Opinion Evidence::Judge(Micros now, const Seen& seen) const {
+Evidence::Opinion Evidence::Judge(Micros now, Seen& seen) const {
   Opinion opinion;
-  if (OthersFail(now, seen)) return opinion;
+  if (OthersFail(now, seen)) {
+    seen.doubtful_until = now;  // what failed until now says nothing later, either
+    return opinion;
+  }
+  const Micros oldest = std::max(now - rules_.window, seen.doubtful_until);
   uint64_t trials = 0;
-  for (const auto& [cls, ring] : seen.classes) trials += SumOf(ring, now - rules_.window).trials;
-  Sum worst = Worst(now, seen, now - rules_.window);
+  for (const auto& [cls, ring] : seen.classes) trials += SumOf(ring, oldest).trials;
+  Sum worst = Worst(now, seen, oldest);
   // With many results there are many spans to be unlucky in.
   const double sure = rules_.sure + std::max(0.0, std::log(static_cast<double>(trials) / 8));
   if (worst.odds >= sure && worst.trials >= rules_.least_trials && worst.failed >= rules_.least_trials) {
     opinion.said = Said::kSure;
   } else if (seen.asked) {
     const Micros width = rules_.window / std::max(1u, rules_.buckets);
-    const Micros since = seen.asked_at - width;
+    const Micros since = std::max(oldest, seen.asked_at - width);
     worst = Worst(now, seen, since);
     Sum all;
     uint32_t most = 0;
@@ -343,9 +347,13 @@
   std::vector<Command> commands;
   std::vector<std::string> changed = std::move(changed_);
   changed_.clear();
-  for (auto& [host, seen] : hosts_) {
-    if (seen.said == Said::kNothing || seen.changed) continue;
-    if (seen.said_until - now <= rules_.tell_again) changed.push_back(host);
+  if (now >= tell_at_) {
+    tell_at_ = kNever;
+    for (const auto& [host, seen] : hosts_) {
+      if (seen.said == Said::kNothing) continue;
+      if (seen.said_until - now <= rules_.tell_again && !seen.changed) changed.push_back(host);
+      tell_at_ = std::min(tell_at_, std::max(now + kSecond, seen.said_until - rules_.tell_again));
+    }
   }
   for (const std::string& host : changed) {
     const auto at = hosts_.find(host);
@@ -395,17 +403,12 @@
     seen.said = opinion.said;
     seen.said_trials = opinion.sum.trials;
     seen.said_until = now + rules_.vote_lasts;
+    tell_at_ = std::min(tell_at_, seen.said_until - rules_.tell_again);
     commands.push_back(std::move(command));
   }
   return commands;
 }
 
-Micros Evidence::next_at() const {
-  Micros next = changed_.empty() ? kNever : 0;
-  for (const auto& [host, seen] : hosts_) {
-    if (seen.said != Said::kNothing) next = std::min(next, seen.said_until - rules_.tell_again);
-  }
-  return next;
-}
+Micros Evidence::next_at() const { return changed_.empty() ? tell_at_ : 0; }
 
 }  // namespace burlfall::ejection
