Membership: the source's first line says how a watch begins now

Read once more: the header still said that the whole list comes first, which holds only where the group has none.

--- a/src/membership/discovery.h
+++ b/src/membership/discovery.h
@@ -1,4 +1,5 @@
-// The platform's discovery as a source: the whole list first, then a watch on what changes.
+// The platform's discovery as a source: a watch on what changes, from the version that the group has, or from
+// the whole list where it has none.
 #ifndef BURLFALL_MEMBERSHIP_DISCOVERY_H_
 #define BURLFALL_MEMBERSHIP_DISCOVERY_H_
 
