Upstream: a server is told the time that is left once its connection is up

Seen: with a connection that comes up 1 s late, a query with 3 s left told its server 3,000,000 us when 2,000,000 were left: the head was written before the wait (http_upstream.cpp, first lines of Attempt). Ruled out: the time itself, which is cut to the attempt's and the client's. The head is now written once the link is there; the test tells 2 s at most, before it failed with 3 s. New rig tests/attempts: the upstream on a virtual clock, one server played by the test.

--- a/src/upstream/http_upstream.cpp
+++ b/src/upstream/http_upstream.cpp
@@ -158,7 +158,6 @@
   // The query is there as long as any attempt of it.
   const std::shared_ptr<BodySource> more = query.more;
   const bool no_body = query.method == "HEAD";
-  std::string bytes = WriteQuery(query, std::max<Micros>(0, until - scheduler_.Now()));
   ServerAnswer answer;
   std::unique_ptr<Link> link = Reuse(host);
   const Micros idle_since = link ? link->idle_since : kNever;
@@ -180,6 +179,9 @@
     // Guards the drain rule: the host may have been withdrawn while the connection came up.
     if (host.state != BackendState::kReady) co_return answer;
   }
+  // Only now. Guards the time that the server is told against the wait for the connection, which is the
+  // client's too.
+  const std::string bytes = WriteQuery(query, std::max<Micros>(0, until - scheduler_.Now()));
   answer.outcome = Outcome::kConnectFailed;  // until the last byte is written it can't have run
   std::string_view rest = bytes;  // at once as a rule; only what finds no room costs a coroutine of its own
   bool whole = link->stream->Write(rest) == Io::kSome;
--- /dev/null
+++ b/tests/attempts/attempts_test.cpp
@@ -0,0 +1,140 @@
+// One attempt at a server, and the events that cross it: a connection that comes up late, a process that
+// stood still, a server that speaks out of turn. Each order is forced on a virtual clock.
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "upstream/http_upstream.h"
+#include "world/virtual_machine.h"
+
+namespace burlfall {
+namespace {
+
+using meadowslip::BackendState, meadowslip::Outcome;
+
+constexpr const char* kAt = "127.0.0.1:9001";
+constexpr Micros kUpAgain = kSecond;  // a connection for which the line was full asks again after this
+
+// The upstream with one server, whose side the test plays.
+class Attempts : public testing::Test {
+ protected:
+  Attempts() {
+    settings.connect_timeout = 1500 * kMs;
+    budget.Allow(1024);
+    List(BackendState::kReady, 0);
+    listener = server.network().Listen(*ReadAddress(kAt));
+  }
+
+  void List(BackendState state, Micros started_at) {
+    HostEntry entry;
+    entry.name = "s-1";
+    entry.address = *ReadAddress(kAt);
+    entry.entry.state = state;
+    entry.entry.started_at = started_at;
+    HostList list;
+    list.full = true;
+    list.hosts.push_back(entry);
+    hosts.Take(list, Now());
+  }
+  Micros Now() const { return world.scheduler.Now(); }
+  HttpUpstream& Up() {
+    if (!upstream)
+      upstream = std::make_unique<HttpUpstream>(balancer, settings, hosts, budget, counters, large);
+    return *upstream;
+  }
+
+  // An attempt whose answer may come at any time.
+  struct Sent {
+    HttpPayload query;
+    ServerAnswer answer;
+    bool over = false;
+    Task<> task;
+    std::string Body() const { return static_cast<const HttpPayload&>(*answer.payload).body; }
+  };
+  std::unique_ptr<Sent> Send(Micros patience, Micros whole_by = kNever, const std::string& body = "") {
+    HttpMessage message;
+    message.method = "POST";
+    message.target = "/pay";
+    message.body = body;
+    auto sent = std::make_unique<Sent>(HttpPayload(std::move(message)));
+    sent->task = Exchange(*sent, Now() + patience, whole_by);
+    sent->task.Start();
+    return sent;
+  }
+  Task<> Exchange(Sent& sent, Micros until, Micros whole_by) {
+    sent.answer = co_await Up().Exchange(hosts.AllNames().front().first, sent.query, until, whole_by);
+    sent.over = true;
+  }
+
+  // Connections don't come up until the line is read, and then only when they ask again.
+  void FillLine() {
+    listener->Backlog(0);
+    NoConnection why = NoConnection::kRefused;
+    filler = server.network().Connect(*ReadAddress(kAt), why);
+  }
+  std::unique_ptr<Stream> Accept() {
+    std::unique_ptr<Stream> stream;
+    listener->Accept(stream);
+    return stream;
+  }
+  static std::string Read(Stream& from) {
+    std::string in;
+    while (from.Read(in) == Io::kSome) continue;
+    return in;
+  }
+  static void Write(Stream& to, std::string_view bytes) { to.Write(bytes); }
+  Task<> Until(Micros at) {
+    Event pause(world.scheduler);
+    co_await pause.Wait(at);
+  }
+  void Play(const std::function<Task<>()>& story) {
+    const auto whole = [&]() -> Task<> {
+      co_await story();
+      world.scheduler.Halt();
+    };
+    Task<> playing = whole();
+    playing.Start();
+    world.scheduler.Run();
+    EXPECT_FALSE(world.scheduler.stuck());
+  }
+
+  world::World world{1'700'000'000 * kSecond, 1};
+  world::VirtualMachine balancer{world}, server{world};
+  meadowslip::Settings settings;
+  HostGroup hosts{settings};
+  LinkBudget budget;
+  Counters counters;
+  bool large = false;
+  std::unique_ptr<HttpUpstream> upstream;
+  std::unique_ptr<Listener> listener;
+  std::unique_ptr<Stream> filler;
+};
+
+Micros Told(const std::string& query) {
+  const size_t at = query.find("X-Expires-In: ");
+  return at == std::string::npos ? -1 : std::atoll(query.c_str() + at + 14);
+}
+
+TEST_F(Attempts, TheTimeToldIsWhatIsLeftOnceTheConnectionIsUp) {
+  Play([&]() -> Task<> {
+    FillLine();
+    const Micros began = Now();
+    const auto sent = Send(3 * kSecond);
+    co_await Until(began + 300 * kMs);
+    Accept();
+    co_await Until(began + kUpAgain + kMs);
+    const auto link = Accept();
+    EXPECT_TRUE(link) << "the connection did not come up";
+    if (!link) co_return;
+    const Micros told = Told(Read(*link));
+    EXPECT_GT(told, 1900 * kMs);
+    EXPECT_LE(told, 2 * kSecond);
+  });
+}
+
+}  // namespace
+}  // namespace burlfall
