Upstream: a connection that came up in time is not written to once the query's time is over

Seen: where the window or the client's time ends after connect_timeout, a process that stood still for 0.5 s as the connection came up wrote the query whole 0.3 s after whole_by: the look at the clock was made only where whole_by came before connect_timeout (http_upstream.cpp, after Connected). Ruled out: the wait itself, which ends at the earlier of both. Now it is looked at whenever the connection is there, and the attempt is moot; the test failed before with the whole query read.

--- a/src/upstream/http_upstream.cpp
+++ b/src/upstream/http_upstream.cpp
@@ -173,8 +173,10 @@
     link = std::make_unique<Link>(*this, std::move(stream), host.era);
     Micros comes_up_by = scheduler_.Now() + connect_timeout_;
     bool connected = co_await Connected(*link->stream, std::min(whole_by, comes_up_by));
-    // A query that ran out of time first says nothing about the host.
-    if (whole_by < comes_up_by && scheduler_.Now() >= whole_by) answer.outcome = Outcome::kMoot;
+    // A query that ran out of time first says nothing about the host. Also of one that came up in time: this
+    // process may have stood still since.
+    if (scheduler_.Now() >= whole_by && (connected || whole_by < comes_up_by))
+      answer.outcome = Outcome::kMoot;
     if (!connected || answer.outcome == Outcome::kMoot) co_return answer;
     // Guards the drain rule: the host may have been withdrawn while the connection came up.
     if (host.state != BackendState::kReady) co_return answer;
--- a/tests/attempts/attempts_test.cpp
+++ b/tests/attempts/attempts_test.cpp
@@ -136,5 +136,23 @@
   });
 }
 
+TEST_F(Attempts, NothingIsWrittenOnceItsTimeIsOverThoughTheConnectionCameUpInTime) {
+  settings.connect_timeout = 1100 * kMs;
+  Play([&]() -> Task<> {
+    FillLine();
+    const Micros began = Now();
+    const auto sent = Send(3 * kSecond, began + 1200 * kMs);
+    co_await Until(began + 300 * kMs);
+    Accept();
+    co_await Until(began + kUpAgain);  // the connection is up, and the attempt has not had its turn
+    world.scheduler.StandStill(500 * kMs);
+    co_await Until(Now() + kMs);
+    const auto link = Accept();
+    EXPECT_EQ(link ? Read(*link) : "no connection", "");
+    EXPECT_TRUE(sent->over);
+    EXPECT_EQ(sent->answer.outcome, Outcome::kMoot);  // the server is not at fault
+  });
+}
+
 }  // namespace
 }  // namespace burlfall
