Upstream: nothing is written to a server's earlier life where it was started anew meanwhile

Seen: a host that went and came back with another start while a connection to it came up (1 s) got the query over that connection, which leads to the earlier process: after the wait only the state was looked at, which was ready again (http_upstream.cpp, the guard after Connected). Ruled out: links kept idle, which compare eras in Usable and Keep. Now the era is compared too, and the attempt is moot for the new one; the test failed before with the whole query read.

--- a/src/upstream/http_upstream.cpp
+++ b/src/upstream/http_upstream.cpp
@@ -178,8 +178,11 @@
     if (scheduler_.Now() >= whole_by && (connected || whole_by < comes_up_by))
       answer.outcome = Outcome::kMoot;
     if (!connected || answer.outcome == Outcome::kMoot) co_return answer;
-    // Guards the drain rule: the host may have been withdrawn while the connection came up.
-    if (host.state != BackendState::kReady) co_return answer;
+    // Guards the drain rule: the host may have been withdrawn while the connection came up. Where it has come
+    // back since, or has moved, this link leads to its earlier life, which says nothing of the one that is
+    // there now.
+    if (link->era != host.era) answer.outcome = Outcome::kMoot;
+    if (link->era != host.era || host.state != BackendState::kReady) co_return answer;
   }
   // Only now. Guards the time that the server is told against the wait for the connection, which is the
   // client's too.
--- a/tests/attempts/attempts_test.cpp
+++ b/tests/attempts/attempts_test.cpp
@@ -154,5 +154,22 @@
   });
 }
 
+TEST_F(Attempts, NothingIsWrittenToAServerThatWasStartedAnewWhileTheConnectionCameUp) {
+  Play([&]() -> Task<> {
+    FillLine();
+    const Micros began = Now();
+    const auto sent = Send(3 * kSecond);
+    co_await Until(began + 300 * kMs);
+    Accept();
+    List(BackendState::kGone, 0);
+    List(BackendState::kReady, Now());
+    co_await Until(began + kUpAgain + kMs);
+    const auto link = Accept();
+    EXPECT_EQ(link ? Read(*link) : "no connection", "");
+    EXPECT_TRUE(sent->over);
+    EXPECT_EQ(sent->answer.outcome, Outcome::kMoot);  // nothing is said of the new one
+  });
+}
+
 }  // namespace
 }  // namespace burlfall
