Upstream: the rest of a query is not written once its time is over

Seen: a query of 64 KB that found no room, and a process that stood still for 0.3 s as room came, beyond whole_by: the rest was written 0.2 s late and the server had it whole; a keyed repeat would run after its window. WriteAll() (io/network.cpp:16) writes before it looks at the clock, and looks only where no notice came. Ruled out: its other callers, whose deadlines are patience and no rule. The upstream's own WriteWhole() looks first; the test failed before with 65,536 bytes of body read.

--- a/src/upstream/http_upstream.cpp
+++ b/src/upstream/http_upstream.cpp
@@ -128,6 +128,17 @@
   return Attempt(hosts_.Hold(to), static_cast<const HttpPayload&>(query), until, std::min(until, whole_by));
 }
 
+// False where the connection broke, or its time came first. Unlike WriteAll() it writes nothing after that,
+// also where there is room at once and this process stood still: guards a server against a query that comes
+// too late.
+Task<bool> HttpUpstream::WriteWhole(Stream& to, std::string_view bytes, Micros until) {
+  while (!bytes.empty()) {
+    if (scheduler_.Now() >= until || to.Write(bytes) == Io::kBroken) co_return false;
+    if (!bytes.empty()) co_await to.Wait(until);
+  }
+  co_return true;
+}
+
 // The rest of a query, as it comes: kDone where its last byte was written, kBroken where the server took no
 // more, kLater where the client did not give it.
 Task<BodySource::Next> HttpUpstream::SendRest(Stream& to, std::shared_ptr<BodySource> more) {
@@ -190,9 +201,9 @@
   answer.outcome = Outcome::kConnectFailed;  // until the last byte is written it can't have run
   std::string_view rest = bytes;  // at once as a rule; only what finds no room costs a coroutine of its own
   bool whole = link->stream->Write(rest) == Io::kSome;
-  if (!rest.empty()) whole = co_await WriteAll(*link->stream, rest, whole_by);
+  if (!rest.empty()) whole = co_await WriteWhole(*link->stream, rest, whole_by);
   if (whole && query.body.size() > kMostBody && (!more || more->length)) {
-    whole = co_await WriteAll(*link->stream, query.body, more ? kNever : whole_by);
+    whole = co_await WriteWhole(*link->stream, query.body, more ? kNever : whole_by);
   }
   if (!whole) co_return answer;
   if (more) {
--- a/tests/attempts/attempts_test.cpp
+++ b/tests/attempts/attempts_test.cpp
@@ -171,5 +171,22 @@
   });
 }
 
+TEST_F(Attempts, TheRestOfAQueryIsNotWrittenOnceItsTimeIsOver) {
+  Play([&]() -> Task<> {
+    const Micros began = Now();
+    const auto sent = Send(3 * kSecond, began + 500 * kMs, std::string(kMostBody, 'x'));
+    co_await Until(began + 400 * kMs);
+    const auto link = Accept();
+    std::string come = Read(*link);  // there is room for the rest now
+    EXPECT_GE(come.size(), kMostBody);
+    world.scheduler.StandStill(300 * kMs);
+    co_await Until(Now() + kMs);
+    come += Read(*link);
+    EXPECT_LT(come.size() - come.find("\r\n\r\n") - 4, kMostBody) << "it came whole";
+    EXPECT_TRUE(sent->over);
+    EXPECT_EQ(sent->answer.outcome, Outcome::kConnectFailed);
+  });
+}
+
 }  // namespace
 }  // namespace burlfall
