Upstream: for a client that has left nothing is begun, also where attempts may not be cancelled

Seen: with Caps.Cancel false a client left 0.7 s before its attempt's connection came up, and the query was written whole all the same: the module cancels nothing there (policy/sending.h:126), and the upstream did not know (http_upstream.cpp, after Connected). Ruled out: settings that allow cancels, where the task is destroyed. The dispatcher now says with the payload that nothing is owed, and what is not whole then never is. Before: the query read at the server; after: nothing, outcome moot.

--- a/src/codec/payload.h
+++ b/src/codec/payload.h
@@ -9,6 +9,7 @@
  public:
   virtual ~Payload() = default;
   virtual bool Spent() const { return false; }  // a part of it is gone: it can't be sent again
+  bool closed = false;  // nothing is owed for it any more: what is not whole on its way need not be
 };
 
 }  // namespace burlfall
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -252,6 +252,7 @@
 Asker* Dispatcher::Close(RequestId id, Query& query, Figure how) {
   if (figures_) figures_->Closed(query.asked.labels.series, how, scheduler_.Now() - query.taken_at);
   query.closed = true;
+  query.asked.payload->closed = true;
   ended_.push_back(id);
   turn_.Notify();
   return std::exchange(query.asked.asker, nullptr);
--- a/src/upstream/http_upstream.cpp
+++ b/src/upstream/http_upstream.cpp
@@ -128,12 +128,12 @@
   return Attempt(hosts_.Hold(to), static_cast<const HttpPayload&>(query), until, std::min(until, whole_by));
 }
 
-// False where the connection broke, or its time came first. Unlike WriteAll() it writes nothing after that,
-// also where there is room at once and this process stood still: guards a server against a query that comes
-// too late.
-Task<bool> HttpUpstream::WriteWhole(Stream& to, std::string_view bytes, Micros until) {
+// False where the connection broke, or its time or its client's end came first. Unlike WriteAll() it writes
+// nothing after that, also where there is room at once and this process stood still: guards a server against
+// a query that comes too late.
+Task<bool> HttpUpstream::WriteWhole(Stream& to, const Payload& query, std::string_view bytes, Micros until) {
   while (!bytes.empty()) {
-    if (scheduler_.Now() >= until || to.Write(bytes) == Io::kBroken) co_return false;
+    if (query.closed || scheduler_.Now() >= until || to.Write(bytes) == Io::kBroken) co_return false;
     if (!bytes.empty()) co_await to.Wait(until);
   }
   co_return true;
@@ -188,6 +188,9 @@
     // process may have stood still since.
     if (scheduler_.Now() >= whole_by && (connected || whole_by < comes_up_by))
       answer.outcome = Outcome::kMoot;
+    // Nor does one whose client left, or was answered, meanwhile: it is begun no more, also where attempts
+    // may not be cancelled.
+    if (query.closed) answer.outcome = Outcome::kMoot;
     if (!connected || answer.outcome == Outcome::kMoot) co_return answer;
     // Guards the drain rule: the host may have been withdrawn while the connection came up. Where it has come
     // back since, or has moved, this link leads to its earlier life, which says nothing of the one that is
@@ -201,10 +204,11 @@
   answer.outcome = Outcome::kConnectFailed;  // until the last byte is written it can't have run
   std::string_view rest = bytes;  // at once as a rule; only what finds no room costs a coroutine of its own
   bool whole = link->stream->Write(rest) == Io::kSome;
-  if (!rest.empty()) whole = co_await WriteWhole(*link->stream, rest, whole_by);
+  if (!rest.empty()) whole = co_await WriteWhole(*link->stream, query, rest, whole_by);
   if (whole && query.body.size() > kMostBody && (!more || more->length)) {
-    whole = co_await WriteWhole(*link->stream, query.body, more ? kNever : whole_by);
+    whole = co_await WriteWhole(*link->stream, query, query.body, more ? kNever : whole_by);
   }
+  if (!whole && query.closed) answer.outcome = Outcome::kMoot;
   if (!whole) co_return answer;
   if (more) {
     query.spent = true;
--- a/tests/attempts/attempts_test.cpp
+++ b/tests/attempts/attempts_test.cpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <utility>
 
+#include "dispatch/dispatcher.h"
 #include "upstream/http_upstream.h"
 #include "world/virtual_machine.h"
 
@@ -188,5 +189,47 @@
   });
 }
 
+struct Waiting final : Asker {
+  void Serve(const Payload&) override { ++told; }
+  void Throttle(Micros) override { ++told; }
+  void Fail() override { ++told; }
+  int told = 0;
+};
+
+// Where the settings allow no cancel, the module lets an attempt run on; one that was not begun is not begun.
+TEST_F(Attempts, NothingIsWrittenForAClientThatLeftWhileTheConnectionCameUp) {
+  settings.classes = {
+      {.idempotency = meadowslip::Idempotency::kUnsafe, .aim = 5 * kSecond, .deadline = 10 * kSecond}};
+  settings.may_cancel = false;
+  Dispatcher dispatcher(
+      world.scheduler, settings, 1, Up(), [] {}, counters);
+  dispatcher.OnList(hosts.AsItStands());
+  dispatcher.Start();
+  Waiting asker;
+  Play([&]() -> Task<> {
+    co_await Until(Now() + kMs);  // the world is heard of
+    FillLine();
+    const Micros began = Now();
+    Asked asked;
+    asked.request.give_up_at = began + 10 * kSecond;
+    HttpMessage message;
+    message.method = "POST";
+    message.target = "/open";
+    asked.payload = std::make_unique<HttpPayload>(std::move(message));
+    asked.asker = &asker;
+    const meadowslip::RequestId id = dispatcher.Take(std::move(asked));
+    co_await Until(began + 300 * kMs);
+    Accept();
+    EXPECT_EQ(counters.sent, 1u);
+    dispatcher.Left(id);
+    co_await Until(began + kUpAgain + kMs);
+    const auto link = Accept();
+    EXPECT_EQ(link ? Read(*link) : "no connection", "");
+    EXPECT_EQ(counters.moot, 1u);
+    EXPECT_EQ(dispatcher.open(), 0u);
+    EXPECT_EQ(asker.told, 0);
+  });
+}
+
 }  // namespace
 }  // namespace burlfall
