Upstream: interim answers may be no longer together than a head

Seen: a server that sends 102 Processing for ever was read for ever: each head was let go by itself (codec/http.cpp:134), so 65,556 bytes of them in pieces of 1, 1,000 and all left the parser waiting for more, and where they come faster than they are read the loop never waits either. Ruled out: memory, each is dropped. All of them now count as part of the head, 16 KiB; 100 interim answers and a good one still pass. Before kMore in each case, after kTooLarge: the attempt ends as one that may have run.

--- a/src/codec/http.cpp
+++ b/src/codec/http.cpp
@@ -128,7 +128,7 @@
     // A stray line break between requests is forgiven.
     while (kind_ == Kind::kRequest && scanned_ == 0 && buffer.starts_with("\r\n")) buffer.erase(0, 2);
     size_t end = buffer.find(kHeadEnd, scanned_);
-    if (std::min(end, buffer.size()) > kMostHead) return Parsed::kTooLarge;
+    if (interim_ + std::min(end, buffer.size()) > kMostHead) return Parsed::kTooLarge;
     if (end == std::string::npos) {
       scanned_ = buffer.size() < kHeadEnd.size() ? 0 : buffer.size() - kHeadEnd.size() + 1;
       return Parsed::kMore;
@@ -138,6 +138,7 @@
     if (head != Parsed::kDone) return head;
     buffer.erase(0, end + kHeadEnd.size());
     if (kind_ == Kind::kResponse && message_.status / 100 == 1) {  // an interim answer: the real one follows
+      interim_ += end + kHeadEnd.size();
       message_ = HttpMessage();
       return Feed(buffer);
     }
@@ -183,7 +184,7 @@
 
 HttpMessage HttpParser::Take() {
   part_ = Part::kHead;
-  scanned_ = left_ = trailer_ = total_ = 0;
+  scanned_ = interim_ = left_ = trailer_ = total_ = 0;
   length_.reset();
   held_ = held_first_;
   parted_ = no_body_ = false;
--- a/src/codec/http.h
+++ b/src/codec/http.h
@@ -91,6 +91,7 @@
   size_t most_body_;
   Part part_ = Part::kHead;
   size_t scanned_ = 0;  // of the head, without its end
+  size_t interim_ = 0;  // answers before the head, all of them: they may be no longer than a head
   size_t left_ = 0;     // of the body or the chunk
   size_t trailer_ = 0;
   size_t total_ = 0;  // of the body, as far as it has come
--- /dev/null
+++ b/tests/attempts/answers_test.cpp
@@ -0,0 +1,41 @@
+// What servers answer, also what no sound one would: each answer has an end, or is none.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "codec/http.h"
+
+namespace burlfall {
+namespace {
+
+// One answer in pieces of so many bytes; what the parser says last, and what it leaves behind the answer.
+struct Heard {
+  Parsed last = Parsed::kMore;
+  HttpMessage message;
+  std::string behind;
+};
+Heard Hear(const std::string& bytes, size_t piece, bool no_body = false) {
+  HttpParser parser(HttpParser::Kind::kResponse);
+  if (no_body) parser.NoBody();
+  Heard heard;
+  for (size_t at = 0; at < bytes.size(); at += piece) {
+    heard.behind += bytes.substr(at, piece);
+    if (heard.last == Parsed::kMore) heard.last = parser.Feed(heard.behind);
+  }
+  if (heard.last == Parsed::kDone) heard.message = parser.Take();
+  return heard;
+}
+
+TEST(Answers, InterimOnesEndSomewhere) {
+  std::string endless;
+  while (endless.size() < 4 * kMostHead) endless += "HTTP/1.1 102 Processing\r\n\r\n";
+  const std::string some = endless.substr(0, 100 * 27);
+  for (size_t piece : {size_t{1}, size_t{1000}, endless.size()}) {
+    EXPECT_EQ(Hear(endless, piece).last, Parsed::kTooLarge) << piece;
+    EXPECT_EQ(Hear(some + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", piece).message.body, "ok")
+        << piece;
+  }
+}
+
+}  // namespace
+}  // namespace burlfall
