--- a/src/upstream/http_upstream.cpp
+++ b/src/upstream/http_upstream.cpp
@@ -128,6 +128,17 @@
   return Attempt(hosts_.Hold(to), static_cast<const HttpPayload&>(query), until, std::min(until, whole_by));
 }
 
+// False where the connection broke, or its time or its client's end came first. Unlike WriteAll() it writes
+// nothing after that, also where there is room at once and this process stood still: guards a server against
+// a query that comes too late.
+Task<bool> HttpUpstream::WriteWhole(Stream& to, const Payload& query, std::string_view bytes, Micros until) {
+  while (!bytes.empty()) {
+    if (query.closed || scheduler_.Now() >= until || to.Write(bytes) == Io::kBroken) co_return false;
+    if (!bytes.empty()) co_await to.Wait(until);
+  }
+  co_return true;
+}
+
 // The rest of a query, as it comes: kDone where its last byte was written, kBroken where the server took no
 // more, kLater where the client did not give it.
 Task<BodySource::Next> HttpUpstream::SendRest(Stream& to, std::shared_ptr<BodySource> more) {
@@ -158,7 +169,6 @@
   // The query is there as long as any attempt of it.
   const std::shared_ptr<BodySource> more = query.more;
   const bool no_body = query.method == "HEAD";
-  std::string bytes = WriteQuery(query, std::max<Micros>(0, until - scheduler_.Now()));
   ServerAnswer answer;
   std::unique_ptr<Link> link = Reuse(host);
   const Micros idle_since = link ? link->idle_since : kNever;
@@ -174,19 +184,31 @@
     link = std::make_unique<Link>(*this, std::move(stream), host.era);
     Micros comes_up_by = scheduler_.Now() + connect_timeout_;
     bool connected = co_await Connected(*link->stream, std::min(whole_by, comes_up_by));
-    // A query that ran out of time first says nothing about the host.
-    if (whole_by < comes_up_by && scheduler_.Now() >= whole_by) answer.outcome = Outcome::kMoot;
+    // A query that ran out of time first says nothing about the host. Also of one that came up in time: this
+    // process may have stood still since.
+    if (scheduler_.Now() >= whole_by && (connected || whole_by < comes_up_by))
+      answer.outcome = Outcome::kMoot;
+    // Nor does one whose client left, or was answered, meanwhile: it is begun no more, also where attempts
+    // may not be cancelled.
+    if (query.closed) answer.outcome = Outcome::kMoot;
     if (!connected || answer.outcome == Outcome::kMoot) co_return answer;
-    // Guards the drain rule: the host may have been withdrawn while the connection came up.
-    if (host.state != BackendState::kReady) co_return answer;
+    // Guards the drain rule: the host may have been withdrawn while the connection came up. Where it has come
+    // back since, or has moved, this link leads to its earlier life, which says nothing of the one that is
+    // there now.
+    if (link->era != host.era) answer.outcome = Outcome::kMoot;
+    if (link->era != host.era || host.state != BackendState::kReady) co_return answer;
   }
+  // Only now. Guards the time that the server is told against the wait for the connection, which is the
+  // client's too.
+  const std::string bytes = WriteQuery(query, std::max<Micros>(0, until - scheduler_.Now()));
   answer.outcome = Outcome::kConnectFailed;  // until the last byte is written it can't have run
   std::string_view rest = bytes;  // at once as a rule; only what finds no room costs a coroutine of its own
   bool whole = link->stream->Write(rest) == Io::kSome;
-  if (!rest.empty()) whole = co_await WriteAll(*link->stream, rest, whole_by);
+  if (!rest.empty()) whole = co_await WriteWhole(*link->stream, query, rest, whole_by);
   if (whole && query.body.size() > kMostBody && (!more || more->length)) {
-    whole = co_await WriteAll(*link->stream, query.body, more ? kNever : whole_by);
+    whole = co_await WriteWhole(*link->stream, query, query.body, more ? kNever : whole_by);
   }
+  if (!whole && query.closed) answer.outcome = Outcome::kMoot;
   if (!whole) co_return answer;
   if (more) {
     query.spent = true;
