Health: the test of an overdue attempt that then fails is red, not marked as expected

It is now the plain expectation, as strict as the one inside was, and it fails: the node is sent 3 requests before it sleeps where 5 failures in a row are the design. The lines: policy/results.h:68, where an attempt that falls due counts a failure, and results.h:109, where its end counts another one unless it is a silent time-out. Ruled out: that the five come from other requests (each is answered before the next).

--- a/tests/module/policy_test.cpp
+++ b/tests/module/policy_test.cpp
@@ -1,5 +1,4 @@
 // The design's ordinary path, and the defences around it.
-#include <gtest/gtest-spi.h>
 #include <gtest/gtest.h>
 
 #include <set>
@@ -29,8 +28,8 @@
   EXPECT_EQ(b.SendsTo(1), 5);
 }
 
-// Expected to fail, F13 of docs/review-findings.md: such an attempt counts as two, once when it falls due and
-// once by its end. The mechanism decides what it decided; this notices when it does not.
+// F13 of docs/review-findings.md. Guards against a node asleep after half the failures, or for twice as long,
+// because such an attempt counts when it falls due and once more by its end.
 TEST(Health, AnAttemptThatIsOverdueAndThenFailsCountsOnce) {
   Bench b = TwoUp();
   for (int i = 0; i < 40; ++i) {
@@ -39,7 +38,7 @@
     b.Pass(bad ? 1500 * kMs : 10 * kMs);
     b.Result(id, 0, bad ? Outcome::kError : Outcome::kOk);
   }
-  EXPECT_NONFATAL_FAILURE(EXPECT_EQ(b.SendsTo(1), 5), "b.SendsTo(1)");
+  EXPECT_EQ(b.SendsTo(1), 5);
 }
 
 TEST(Health, ASuccessBetweenFailuresStartsTheCountAnew) {
