Hand-over: a process that closes takes no door back from an heir that died

An heir that claims while the old process drains may open the door once that closes already. HandOn() then made it a process that has handed over (serve/program.cpp:572), and where the heir died TakeBack() opened a listener that Close() had let go: the process crashed, and what it owed was lost. Ruled out: a claim to one that closes, which is refused by name. It now goes on closing, and its quiet links still go over. Test with a scripted heir in tests/service/upgrade_test.cpp: as found no answer and exit by signal, now the answer and exit 0.

--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -570,8 +570,11 @@
 }
 
 void Program::HandOn() {
-  before_hand_on_ = phase_;
-  phase_ = Phase::kHandedOver;
+  // One that closes goes on closing. Guards against taking back a door that it has not any more.
+  if (phase_ != Phase::kClosing) {
+    before_hand_on_ = phase_;
+    phase_ = Phase::kHandedOver;
+  }
   log_.Tell<"handed_over">(front_.open(), dispatcher_.open());
   front_.Shut();
   member_.reset();  // without a word: the heir goes on in its place, and nobody misses it
--- a/tests/service/upgrade_test.cpp
+++ b/tests/service/upgrade_test.cpp
@@ -360,4 +360,54 @@
   CHECK(other.output.find("no way to n1") == std::string::npos);
 }
 
+// ---- Signals, and an heir that dies, in any order --------------------------------------------------------
+
+namespace {
+
+// What this process has heard of by now it has acted on: two turns have gone by since.
+void TwoTurns(Program& program) {
+  for (int i = 0; i < 2; ++i) {
+    program.Signal(SIGUSR1);
+    std::string line = program.AnyLine();
+    while (!line.empty() && line.find("taken=") == std::string::npos) {
+      program.output += line;
+      line = program.AnyLine();
+    }
+    program.output += line;
+  }
+}
+
+// An heir that claims the door; it is scripted from then on.
+Descriptor Claimed(const Platform& platform) {
+  Descriptor heir = Meet(platform.socket());
+  Say(heir, Pack('T', Claim{kHandoverVersion, "n1"}));
+  CHECK(Hear(heir).front() == 'Z');
+  return heir;
+}
+
+}  // namespace
+
+TEST_CASE(
+    "an heir that takes the door of a process that closes already, and dies, ends nothing that is owed") {
+  Platform platform;
+  Peer server;
+  Program old(SiteText(Entry("s-1", server.port)), {"serve"}, nullptr, platform.world());
+  Link busy = Link::To(platform.door.port);
+  busy.Write(Get("t1"));
+  Link at_work = server.Accept();
+  at_work.Read();
+  old.Signal(SIGTERM);
+  CHECK(Says(old, "draining: "));
+  {
+    const Descriptor heir = Claimed(platform);
+    CHECK(Says(old, "closing: "));
+    Say(heir, "S");
+    CHECK(Says(old, "handed over"));
+  }
+  TwoTurns(old);
+  at_work.Write(Ok("owed"));
+  CHECK(busy.Read().ends_with("owed"));
+  CHECK(old.Wait() == 0);
+}
+
 }  // namespace burlfall
