Hand-over: SIGTERM is kept where the door is taken back

A process that had handed over and was then told to end forgot that where its heir died: TakeBack() went back to serving (serve/program.cpp:595), /up said yes, and SIGKILL found whatever was in hand. Ruled out: the signal itself, which was read. The word to end is now kept with its time in any phase, and the drain counts from it, not from the door that came back. Test with a scripted heir: as found the process had not ended 15 s later, now it drains, answers what it owes and ends with 0.

--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -264,7 +264,7 @@
     log_.Tell<"start_phase">(start::NameOf(told_phase_), 0, (asking_->next_at() - began_at_) / kMs,
                              asking_->window() / kMs, counters_.list_calls);
   }
-  if (end_asked_) Drain();
+  if (told_to_end_at_) Drain();
 }
 
 // From the list that the configuration came with.
@@ -621,6 +621,7 @@
   Allow();
   if (!first) return;
   log_.Tell<"two_processes">(use.descriptors, use.memory_kb, budget_.open() + LinkBudget::kSpare,
+  if (told_to_end_at_) Drain();
                              machine_.ResidentBytes() / 1024, descriptors());
 }
 
@@ -666,7 +667,7 @@
 }
 
 void Program::Drain() {
-  end_asked_ = true;
+  if (!told_to_end_at_) told_to_end_at_ = machine_.Now();
   if (!Serving()) return;
   phase_ = Phase::kDraining;
   log_.Tell<"draining">(front_.open());
@@ -727,7 +728,8 @@
 }
 
 Task<> Program::Drained() {
-  const Micros until = machine_.Now() + DrainFor(config_.settings);
+  // Counted from the word to end: the platform counts from there, whatever lay between.
+  const Micros until = *told_to_end_at_ + DrainFor(config_.settings);
   while (phase_ == Phase::kDraining && machine_.Now() < until) co_await moved_.Wait(until);
   if (phase_ == Phase::kDraining) phase_ = Phase::kClosing;
 }
--- a/src/serve/program.h
+++ b/src/serve/program.h
@@ -159,7 +159,7 @@
   std::optional<ClusterMember> member_;
   Phase phase_ = Phase::kStarting;
   Phase before_hand_on_ = Phase::kServing;
-  bool end_asked_ = false;  // before it served
+  std::optional<Micros> told_to_end_at_;  // by whoever runs it, in any phase
   Micros aside_since_ = 0;
   Use other_;  // of a hand-over
   bool descriptors_tight_ = false;
--- a/tests/service/upgrade_test.cpp
+++ b/tests/service/upgrade_test.cpp
@@ -410,4 +410,27 @@
   CHECK(old.Wait() == 0);
 }
 
+TEST_CASE("a process that was told to end ends, also where it takes the door back from an heir that died") {
+  Platform platform;
+  Peer server;
+  Program old(SiteText(Entry("s-1", server.port)), {"serve"}, nullptr, platform.world());
+  Link busy = Link::To(platform.door.port);
+  busy.Write(Get("t1"));
+  Link at_work = server.Accept();
+  at_work.Read();
+  {
+    const Descriptor heir = Claimed(platform);
+    Say(heir, "S");
+    CHECK(Says(old, "handed over"));
+    old.Signal(SIGTERM);
+    TwoTurns(old);
+  }
+  CHECK(Says(old, "this one serves again"));
+  at_work.Write(Ok("owed"));
+  CHECK(busy.Read().ends_with("owed"));
+  REQUIRE(old.EndsUnread());
+  CHECK(old.Wait() == 0);
+  CHECK(old.output.find("draining: ") != std::string::npos);
+}
+
 }  // namespace burlfall
