Hand-over: an heir that is told to end before it serves leaves the door where it is

SIGTERM to a new process that still awaited its estate was kept until it served (serve/program.cpp:237): it took the door, told the old one so, drained and ended, and the old one ended with it, so a start that staff broke off took the service down. Ruled out: the old process, which keeps its door where an heir leaves. It now lets go of the hand-over and ends, having accepted nothing. Test with a scripted old process and the signal taken between claim and estate: as found the heir said that it serves, now it leaves and ends with 0. Without an estate it serves what has connected and drains, as before.

--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -246,6 +246,13 @@
   // A module that was taken over may believe that discovery is followed.
   if (estate) discovery_.Follow();
   phase_ = Phase::kServing;
+  if (estate && told_to_end_at_) {
+    // Whoever has the door keeps it. Guards against both ending where one was told to.
+    handover_.reset();
+    phase_ = Phase::kStopped;
+    machine_.scheduler().Stop();
+    co_return;
+  }
   dispatcher_.Start();
   sweeper_ = Sweep();
   sweeper_.Start();
--- a/tests/service/upgrade_test.cpp
+++ b/tests/service/upgrade_test.cpp
@@ -4,6 +4,8 @@
 #include <sys/un.h>
 
 #include <chrono>
+#include <cstring>
+#include <functional>
 #include <memory>
 #include <set>
 #include <thread>
@@ -433,4 +435,97 @@
   CHECK(old.output.find("draining: ") != std::string::npos);
 }
 
+namespace {
+
+// The process before, scripted up to its heir's word that it serves. Between the claim and the estate it does
+// what the story says, with the heir's process.
+class ScriptedOld {
+ public:
+  ScriptedOld(const Platform& platform, const Peer& server, std::function<void(pid_t)> between = {})
+      : listener_(socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0)) {
+    sockaddr_un at{};
+    at.sun_family = AF_UNIX;
+    platform.socket().copy(at.sun_path, sizeof at.sun_path - 1);
+    REQUIRE(bind(listener_.get(), reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+    REQUIRE(listen(listener_.get(), 1) == 0);
+    estate_.list = 5;
+    HostRecord& host = estate_.hosts.emplace_back();
+    host.id = 1;
+    host.name = "s-1";
+    host.address = "127.0.0.1:" + std::to_string(server.port);
+    host.listed = meadowslip::BackendState::kReady;
+    thread_ = std::thread([this, between = std::move(between)] { Run(between); });
+  }
+  ScriptedOld(const ScriptedOld&) = delete;
+  ~ScriptedOld() { Join(); }
+  void Join() {
+    if (thread_.joinable()) thread_.join();
+  }
+  bool took_door() const { return took_door_; }  // once joined: the heir says that it serves
+  void Pass(const Link& link, const PassedLink& as) const {
+    const std::string message = Pack('L', as);
+    iovec part{const_cast<char*>(message.data()), message.size()};
+    alignas(cmsghdr) char space[CMSG_SPACE(sizeof(int))] = {};
+    msghdr header{};
+    header.msg_iov = &part;
+    header.msg_iovlen = 1;
+    header.msg_control = space;
+    header.msg_controllen = sizeof space;
+    cmsghdr* rights = CMSG_FIRSTHDR(&header);
+    rights->cmsg_level = SOL_SOCKET;
+    rights->cmsg_type = SCM_RIGHTS;
+    rights->cmsg_len = CMSG_LEN(sizeof(int));
+    const int fd = link.fd();
+    std::memcpy(CMSG_DATA(rights), &fd, sizeof fd);
+    REQUIRE(sendmsg(heir_.get(), &header, MSG_NOSIGNAL) > 0);
+  }
+  void End() { heir_ = Descriptor(); }
+
+ private:
+  void Run(const std::function<void(pid_t)>& between) {
+    if (!Readable(listener_.get(), kPatience * 1000)) return;
+    heir_ = Descriptor(accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC));
+    std::string message = Hear(heir_);
+    ucred who{};
+    socklen_t length = sizeof who;
+    getsockopt(heir_.get(), SOL_SOCKET, SO_PEERCRED, &who, &length);
+    if (between) between(who.pid);
+    for (const std::string& piece : Pieces(std::move(estate_))) {
+      send(heir_.get(), piece.data(), piece.size(), MSG_NOSIGNAL);
+    }
+    while (!(message = Hear(heir_)).empty() && message.front() != 'S') {
+    }
+    took_door_ = !message.empty();
+  }
+
+  Descriptor listener_, heir_;
+  Estate estate_;
+  bool took_door_ = false;
+  std::thread thread_;
+};
+
+// Sends the signal, and waits until the process has taken it.
+void SignalAndWait(pid_t process, int signal) {
+  kill(process, signal);
+  Until([&] {
+    const std::string status = Text("/proc/" + std::to_string(process) + "/status");
+    const size_t at = status.find("ShdPnd:\t");
+    return at != std::string::npos &&
+           (std::stoull(status.substr(at + 8), nullptr, 16) >> (signal - 1) & 1U) == 0;
+  });
+}
+
+}  // namespace
+
+TEST_CASE("an heir that is told to end before it serves leaves the door to the old process, and ends") {
+  Platform platform;
+  Peer server;
+  ScriptedOld old(platform, server, [](pid_t heir) { SignalAndWait(heir, SIGTERM); });
+  Program heir(SiteText(Entry("s-1", server.port)), {"serve"}, nullptr, platform.world());
+  REQUIRE(heir.EndsUnread());
+  CHECK(heir.Wait() == 0);
+  old.Join();
+  CHECK_FALSE(old.took_door());
+}
+
 }  // namespace burlfall
