Start: SIGHUP before the balancer serves ends nothing, and its discovery is the one asked

Reload() opened a new watch in every phase (serve/program.cpp:680). While a process awaited its estate there was nothing that could take a list: its log of lists (list_log_) is made with the estate, so the first answer ended the process. Ruled out: reading the file, which holds in that phase. The start now asks by itself, at the new place, for the whole list, as versions may differ there. Test with a scripted old process, the file rewritten and SIGHUP taken between claim and estate: as found the process ended, now it takes over and asks the new place once.

--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -240,7 +240,7 @@
     asking_->Begin(began_at_, hosts_.Ready() > 0, machine_.Draw(), estate ? 0 : BeganBefore());
   }
   // Where starts are paced, the service hands out whole lists first and begins watches once all have theirs.
-  const bool has_list = !asking_ && hosts_.Ready() > 0;
+  const bool has_list = !asking_ && !list_moved_ && hosts_.Ready() > 0;
   discovery_.Start(has_list ? std::optional<uint64_t>(hosts_.version()) : std::nullopt);
   dispatcher_.OnList(hosts_.AsItStands());
   // A module that was taken over may believe that discovery is followed.
@@ -688,7 +688,12 @@
   config_.discovery = config.discovery;
   config_.sockets = config.sockets;
   Allow();
-  discovery_.Again();
+  // Nothing could take a list yet: the start itself then asks, at the new place, for the whole of it.
+  if (phase_ == Phase::kStarting) {
+    list_moved_ = true;
+  } else {
+    discovery_.Again();
+  }
   return same;
 }
 
--- a/tests/service/upgrade_test.cpp
+++ b/tests/service/upgrade_test.cpp
@@ -528,4 +528,35 @@
   CHECK_FALSE(old.took_door());
 }
 
+TEST_CASE("SIGHUP while a process awaits its estate: it begins at the discovery that the file now names") {
+  Platform platform;
+  Peer server, before, now;
+  Setup setup = {.known = Entry("s-1", server.port), .discovery = before.port};
+  const TextFile file(ConfigText(setup));
+  setup.discovery = now.port;
+  ScriptedOld old(platform, server, [&](pid_t heir) {
+    file.Write(ConfigText(setup));
+    SignalAndWait(heir, SIGHUP);
+    if (!Readable(now.fd(), 300)) return;  // as it should be: it has nothing yet that could take a list
+    Link call = now.Accept();
+    call.Read();
+    call.TryWrite(Ok(List(2, true, Entry("s-1", server.port))));
+    call.Read();
+  });
+  World world = platform.world();
+  world.variables["PROXY_CONFIG"] = file.path;
+  Program heir("", {"serve"}, nullptr, world);
+  old.Join();
+  CHECK(old.took_door());
+  Link call = now.Accept();
+  // Versions may differ there: the whole list.
+  CHECK(call.Read().starts_with("GET /discovery/hosts HTTP/1.1\r\n"));
+  call.Write(Ok(List(2, true, Entry("s-1", server.port))));
+  CHECK(call.Read().starts_with("GET /discovery/hosts?index=2&wait="));
+  CHECK_FALSE(before.Called());
+  Link client = Link::To(platform.door.port);
+  CHECK(Served(client, server, "t1").ends_with("fine"));
+  CHECK(heir.Wait(SIGTERM) == 0);
+}
+
 }  // namespace burlfall
