Hand-over: links on their way are taken where the old process left words unread

Where one side of the channel ends with messages unread, the system tells the other a reset once, before what had been sent ahead of it (shown by a socket pair: ECONNRESET, then both messages, then the end). Receive() took that for the end (io/real_channel.cpp:107), so links that the old process had passed on were closed with what was read of their queries: an operator's call at the new process in the old one's last moment was enough. It now reads on after one reset. Test: a link passed on to an heir that stands still, calls unread, then the end.

--- a/src/io/real_channel.cpp
+++ b/src/io/real_channel.cpp
@@ -101,9 +101,12 @@
     header.msg_control = space.data();
     header.msg_controllen = space.size();
     ssize_t n = -1;
+    // A reset is told once, and before what was sent ahead of it: it says no more than that the other side
+    // ended with words of ours unread. Guards the connections that are on their way then.
+    bool reset = false;
     do {
       n = recvmsg(fd_.get(), &header, MSG_CMSG_CLOEXEC);
-    } while (n < 0 && errno == EINTR);
+    } while (n < 0 && (errno == EINTR || (errno == ECONNRESET && !std::exchange(reset, true))));
     message.resize(n > 0 ? static_cast<size_t>(n) : 0);
     if (n == 0) return Io::kClosed;  // no message is empty
     if (n < 0) return errno == EAGAIN || errno == EWOULDBLOCK ? Io::kLater : Io::kBroken;
--- a/tests/service/upgrade_test.cpp
+++ b/tests/service/upgrade_test.cpp
@@ -559,4 +559,32 @@
   CHECK(heir.Wait(SIGTERM) == 0);
 }
 
+TEST_CASE("links on their way are taken also where the old process ended with words of the heir's unread") {
+  Platform platform;
+  Peer server, elsewhere;
+  ScriptedOld old(platform, server);
+  Program heir(SiteText(Entry("s-1", server.port)), {"serve"}, nullptr, platform.world());
+  old.Join();
+  REQUIRE(old.took_door());
+  REQUIRE(Tell(heir.admin, "/nodes/s-1/maint") == 200);  // told to the old one, which does not read it
+  REQUIRE(Tell(heir.admin, "/nodes/s-1/ready") == 200);
+  Link client = Link::To(elsewhere.port);
+  heir.Signal(SIGSTOP);
+  siginfo_t info{};
+  REQUIRE(waitid(P_PID, static_cast<id_t>(heir.pid()), &info, WSTOPPED | WNOWAIT) == 0);
+  {
+    const Link accepted = elsewhere.Accept();
+    old.Pass(accepted, {true, 0, "GET /look?user=1 HTTP/1.1\r\n"});
+  }
+  old.End();
+  heir.Signal(SIGCONT);
+  client.Write("X-Trace-Id: t1\r\n\r\n");
+  REQUIRE(Readable(server.fd(), kPatience * 1000));
+  Link link = server.Accept();
+  CHECK(link.Read().find("X-Trace-Id: t1\r\n") != std::string::npos);
+  link.Write(Ok("fine"));
+  CHECK(client.Read().ends_with("fine"));
+  CHECK(heir.Wait(SIGTERM) == 0);
+}
+
 }  // namespace burlfall
