End: what is owed is answered before the platform may kill the process

After SIGTERM the platform waits for the longest deadline, or 3 s where that is longer, and 0.7 s; what SIGKILL then finds unanswered and came over 0.7 s after SIGTERM is lost. The drain lasts 0.8 s and links are read on while it closes, each query with its own deadline (serve/program.cpp:739, dispatch/dispatcher.cpp:230): with nodes that hang, queries that came 0.70 to 0.99 s after SIGTERM were owed at the kill with deadlines of 2 and 3 s, all that came from 0.04 s before it on with 4 and 30 s. Ruled out: short deadlines (50 ms, 0.6 s), where the drain is cut. From the word to end on no query is open beyond 0.1 s before the kill: what comes gets no more time, so the module settles it, and what is left is refused where it was never sent on and failed otherwise, with nothing sent on in its place.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -46,8 +46,10 @@
     results.swap(results_);
     for (Result& result : results) Deliver(std::move(result));
     FireTimers();
+    if (scheduler_.Now() >= ends_by_) AnswerAll();
     Bury();
     wakes_at_ = timers_.empty() ? kNever : timers_.top().at;
+    if (ends_by_ > scheduler_.Now()) wakes_at_ = std::min(wakes_at_, ends_by_);
     co_await turn_.Wait(wakes_at_);
   }
 }
@@ -102,6 +104,35 @@
   }
 }
 
+void Dispatcher::EndBy(Micros when) {
+  ends_by_ = when;
+  turn_.Notify();
+}
+
+// Guards what is open against an end of the process that answers nothing. What was never sent on is refused,
+// since that is harmless; the rest has failed. The module hears of it as of clients that left, once all of
+// them are closed: it would send others in their place.
+void Dispatcher::AnswerAll() {
+  std::vector<RequestId> open;
+  for (const auto& [id, query] : queries_) {
+    if (!query.closed) open.push_back(id);
+  }
+  std::sort(open.begin(), open.end());
+  for (RequestId id : open) {
+    Query& query = queries_.at(id);
+    const bool never_ran = std::all_of(query.attempts.begin(), query.attempts.end(),
+                                       [](const Attempt& a) { return a.heard && a.never_ran; });
+    ++(never_ran ? counters_.throttled : counters_.failed);
+    Asker* asker = Close(id, query, never_ran ? Figure::kThrottled : Figure::kFailed);
+    never_ran ? asker->Throttle(ComeBack()) : asker->Fail();
+  }
+  for (RequestId id : open) {
+    const Micros now = scheduler_.Now();
+    if (capture_) capture_->OnClientLeft(now, id);
+    balancer_.OnClientLeft(now, id, *this);
+  }
+}
+
 // Not at once: whoever ended them may still hold them.
 void Dispatcher::Bury() {
   for (RequestId id : ended_) {
@@ -203,6 +234,7 @@
     return id;
   }
   asked.request.id = id;
+  asked.request.give_up_at = std::min(asked.request.give_up_at, ends_by_);
   const Micros now = scheduler_.Now();
   if (figures_) figures_->Opened(asked.labels.series);
   const meadowslip::Request request = asked.request;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -33,6 +33,8 @@
   void Start();
   // No more queries than these at a time, nor than the settings allow; further ones are refused as they come.
   void HoldAtMost(size_t queries) { most_held_ = queries; }
+  // No query is open for longer: what comes gets no more time than that, and what is left then is answered.
+  void EndBy(Micros when);
 
   void OnList(const meadowslip::BackendList& list);
   // The asker hears of its end at any time from here on, also before this returns.
@@ -97,6 +99,7 @@
   void Deliver(Result result);
   void TellStream(meadowslip::RequestId id, int attempt);
   void FireTimers();
+  void AnswerAll();
   void Bury();
   Query* Known(meadowslip::RequestId id);
   Micros ComeBack() const;
@@ -117,6 +120,7 @@
   size_t most_held_;
   Event turn_;
   Micros wakes_at_ = kNever;
+  Micros ends_by_ = kNever;
   uint64_t last_id_ = 0;
   uint64_t timers_set_ = 0;
   std::priority_queue<ModuleTimer, std::vector<ModuleTimer>, std::greater<>> timers_;
--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -9,12 +9,16 @@
 namespace burlfall {
 namespace {
 
-// After the word to end, connections still come for up to 0.4 s; they would be refused without a listener. A
-// little longer does no harm where the platform waits: it does for the longest deadline and 0.7 s.
 constexpr char kOwnFolder[] = "$TMPDIR";  // of the saved list: where the configuration says
+// After the word to end, connections still come for up to 0.4 s; they would be refused without a listener. A
+// little longer does no harm where the platform waits: it does for the longest deadline, or 3 s where that is
+// longer, and 0.7 s. What it finds unanswered then is lost.
 constexpr Micros kStillCome = 400 * kMs;
 constexpr Micros kDrainFor = 800 * kMs;
-constexpr Micros kCloseFor = 300 * kMs;  // for links that owe nothing
+constexpr Micros kMostWaitedFor = 3 * kSecond;
+constexpr Micros kKilledAfter = 700 * kMs;
+constexpr Micros kBeforeKill = 100 * kMs;  // the answers are still to be written, and read
+constexpr Micros kCloseFor = 300 * kMs;    // for links that owe nothing
 constexpr Micros kCloseStep = 20 * kMs;
 constexpr Micros kFinishFor = 300 * kMs;      // for the last lines, where what takes them is slow
 constexpr Micros kCountsFor = 600 * kSecond;  // members that were lost from sight
@@ -32,10 +36,19 @@
 
 size_t Calls(size_t descriptors) { return std::clamp(descriptors / kCallsPart, kLeastCalls, kMostCalls); }
 
-Micros DrainFor(const meadowslip::Settings& settings) {
+Micros LongestDeadline(const meadowslip::Settings& settings) {
   Micros longest = 0;
   for (const meadowslip::RequestClass& c : settings.classes) longest = std::max(longest, c.deadline);
-  return std::min(kDrainFor, kStillCome + longest / 2);
+  return longest;
+}
+
+Micros DrainFor(const meadowslip::Settings& settings) {
+  return std::min(kDrainFor, kStillCome + LongestDeadline(settings) / 2);
+}
+
+// From the word to end: by then all that is owed is answered.
+Micros AnswersWithin(const meadowslip::Settings& settings) {
+  return std::min(LongestDeadline(settings), kMostWaitedFor) + kKilledAfter - kBeforeKill;
 }
 
 // Several balancers may share the folder, by different names.
@@ -233,6 +246,13 @@
 Task<> Program::Begin() {
   std::optional<Estate> estate;
   if (handover_) estate = co_await handover_->Claim();
+  if (estate && told_to_end_at_) {
+    // Whoever has the door keeps it. Guards against both ending where one was told to.
+    handover_.reset();
+    phase_ = Phase::kStopped;
+    machine_.scheduler().Stop();
+    co_return;
+  }
   if (!estate || !TakeOver(*estate)) BeginAlone();
   if (capture_) capture_->Start();
   began_at_ = machine_.Now();
@@ -246,13 +266,6 @@
   // A module that was taken over may believe that discovery is followed.
   if (estate) discovery_.Follow();
   phase_ = Phase::kServing;
-  if (estate && told_to_end_at_) {
-    // Whoever has the door keeps it. Guards against both ending where one was told to.
-    handover_.reset();
-    phase_ = Phase::kStopped;
-    machine_.scheduler().Stop();
-    co_return;
-  }
   dispatcher_.Start();
   sweeper_ = Sweep();
   sweeper_.Start();
@@ -608,6 +621,7 @@
   Join();
   hosts_.LeaveCold(false, machine_.Now());
   HostsChanged();
+  if (told_to_end_at_) Drain();
   moved_.Notify();
 }
 
@@ -628,7 +642,6 @@
   Allow();
   if (!first) return;
   log_.Tell<"two_processes">(use.descriptors, use.memory_kb, budget_.open() + LinkBudget::kSpare,
-  if (told_to_end_at_) Drain();
                              machine_.ResidentBytes() / 1024, descriptors());
 }
 
@@ -674,7 +687,10 @@
 }
 
 void Program::Drain() {
-  if (!told_to_end_at_) told_to_end_at_ = machine_.Now();
+  if (!told_to_end_at_) {
+    told_to_end_at_ = machine_.Now();
+    dispatcher_.EndBy(*told_to_end_at_ + AnswersWithin(config_.settings));
+  }
   if (!Serving()) return;
   phase_ = Phase::kDraining;
   log_.Tell<"draining">(front_.open());
--- /dev/null
+++ b/tests/histories/ends_test.cpp
@@ -0,0 +1,239 @@
+// The end of a process, and its start, on a virtual clock: what is owed when the platform may kill it, which
+// links it waits for, and when it says that it can serve. The moments are exact, whatever the machine does.
+#include <gtest/gtest.h>
+
+#include <list>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "config/platform.h"
+#include "config/platform_config.h"
+#include "serve/program.h"
+#include "world/virtual_machine.h"
+
+namespace burlfall {
+namespace {
+
+constexpr char kDoor[] = "127.0.0.1:8000";
+constexpr char kNode[] = "127.0.0.1:9000";
+constexpr char kDiscovery[] = "127.0.0.1:7000";
+
+std::string NodeEntry() {
+  return std::string(R"({"id":"s-1","addr":")") + kNode +
+         R"(","zone":"a","kind":"m","cell":1,"state":"Ready","weight":1.0,"started_ms":0})";
+}
+std::string ListOf(const std::string& entries) {
+  return R"({"version":1,"full":true,"servers":[)" + entries + "]}";
+}
+
+// One class of safe queries, with this deadline.
+std::string ConfigText(Micros deadline, const std::string& known, const std::string& descriptors) {
+  return std::string(R"({"name":"n1","listen":")") + kDoor + R"(","discovery":")" + kDiscovery +
+         R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":)" + descriptors +
+         R"(},"known":)" + ListOf(known) +
+         R"(,"settings":{"Balancers":1,"MyZone":0,"Zones":["a"],"MachineTypes":["m"],"Categories":[)"
+         R"({"Name":"look","Effect":"pure","Group":"all","DedupWindow":60000000,"Slo":)" +
+         std::to_string(deadline / 10 * 8) + R"(,"HardLimit":)" + std::to_string(deadline) +
+         R"(,"Worth":1.0}],"Realms":[],"MembershipMode":"subscribe","Caps":{"Cancel":true,"SendCap":5,)"
+         R"("RetryAfter":true,"MaxRetryAfter":1500000,"ConnectTimeout":1000000,"Keepalive":10000000,)"
+         R"("OpenCap":20000},"Rules":{"AnswerSlack":20000,"DrainGrace":750000,"MustAskIn":2000000}}})";
+}
+
+std::string Query(const std::string& trace) {
+  return "GET /look?user=1 HTTP/1.1\r\nX-Trace-Id: " + trace + "\r\n\r\n";
+}
+
+// The process, from its start to its end, and what stands round it.
+class Stage {
+ public:
+  explicit Stage(const std::string& config, size_t descriptors = 1024)
+      : outside(world_, 1 << 16), machine_(world_, descriptors), pause_(world_.scheduler) {
+    world_.files["config.json"] = config;
+    const auto environment = [](const char* name) -> const char* {
+      return std::string_view(name) == platform::kConfigVariable ? "config.json" : nullptr;
+    };
+    errors_ = std::make_unique<Outlet>(world_.scheduler, machine_.StandardError());
+    log_ = std::make_unique<Log>(world_.scheduler, *errors_, LogFormat::kText, counters_);
+    program_ = std::make_unique<Program>(machine_, LoadConfig(environment, machine_.files()), Properties(),
+                                         *log_, counters_);
+    world_.scheduler.on_stop = [this] { ended_at = Now(); };
+    began_ = Now();
+    program_->Start();
+  }
+
+  Micros Now() const { return world_.scheduler.Now(); }
+  Micros since_start() const { return Now() - began_; }
+  Waiter Until(Micros after_start) { return pause_.Wait(began_ + after_start); }
+  Event MakeEvent() { return Event(world_.scheduler); }
+  bool ended() const { return ended_at != 0; }
+  void Terminate() { program_->Drain(); }
+  // As the system does with what a process that ended, or was killed, leaves.
+  void Bury() { program_.reset(); }
+  const std::string& said() const { return machine_.said; }
+  const Counters& counters() const { return counters_; }
+  std::unique_ptr<Stream> Connect(const char* to = kDoor) {
+    NoConnection why{};
+    return outside.network().Connect(*ReadAddress(to), why);
+  }
+  std::unique_ptr<Listener> Listen(const char* at) { return outside.network().Listen(*ReadAddress(at)); }
+  void Play(Task<> story) {
+    story.Start();
+    while (!over_ && !world_.scheduler.stuck()) world_.scheduler.Run();
+    EXPECT_TRUE(over_);
+  }
+  void Over() {
+    over_ = true;
+    world_.scheduler.Halt();
+  }
+
+ private:
+  world::World world_{1'700'000'000 * kSecond, 1};
+
+ public:
+  world::VirtualMachine outside;  // of nodes, discovery and clients
+  Micros ended_at = 0;
+
+ private:
+  world::VirtualMachine machine_;
+  Event pause_;
+  Counters counters_;
+  std::unique_ptr<Outlet> errors_;
+  std::unique_ptr<Log> log_;
+  std::unique_ptr<Program> program_;
+  Micros began_ = 0;
+  bool over_ = false;
+};
+
+// Reads one message whole; what came until the link ended, where it did.
+Task<std::string> ReadMessage(Stream& stream) {
+  std::string text;
+  while (true) {
+    const size_t head = text.find("\r\n\r\n");
+    const size_t length = text.find("Content-Length: ");
+    if (head != std::string::npos &&
+        text.size() >= head + 4 + (length < head ? std::stoul(text.substr(length + 16)) : 0)) {
+      break;
+    }
+    const Io io = stream.Read(text);
+    if (io == Io::kLater) {
+      co_await stream.Wait();
+    } else if (io != Io::kSome) {
+      break;
+    }
+  }
+  co_return text;
+}
+
+Task<> Write(Stream& stream, std::string bytes) {
+  bool written = co_await WriteAll(stream, bytes, kNever);
+  (void)written;
+}
+
+// A node that takes whatever comes and says nothing.
+class SilentNode {
+ public:
+  explicit SilentNode(Stage& stage) : listener_(stage.Listen(kNode)), accepts_(Accept()) { accepts_.Start(); }
+  std::vector<std::unique_ptr<Stream>> links;
+
+ private:
+  Task<> Accept() {
+    while (true) {
+      std::unique_ptr<Stream> link;
+      if (listener_->Accept(link) != Listener::Accepted::kOne) {
+        co_await listener_->Wait();
+        continue;
+      }
+      links.push_back(std::move(link));
+    }
+  }
+  std::unique_ptr<Listener> listener_;
+  Task<> accepts_;
+};
+
+// One query of one client: connects and sends at these times after SIGTERM.
+struct Asking {
+  Micros connects = 0;
+  Micros sends = 0;
+  std::string answer;
+  Micros answered_at = 0;
+  bool over = false;  // answered, or the link has ended
+  std::unique_ptr<Stream> link;
+  Task<> task;
+};
+
+Task<> Ask(Stage& stage, Asking& asking, Micros terminates) {
+  Event pause = stage.MakeEvent();
+  co_await pause.Wait(stage.Now() - stage.since_start() + terminates + asking.connects);
+  asking.link = stage.Connect();
+  co_await pause.Wait(stage.Now() - stage.since_start() + terminates + asking.sends);
+  co_await Write(*asking.link, Query("t"));
+  asking.answer = co_await ReadMessage(*asking.link);
+  asking.answered_at = stage.Now();
+  asking.over = true;
+  asking.link.reset();
+}
+
+// What SIGKILL finds unanswered, at the earliest moment at which the platform may send it: none.
+void NothingIsOwedAtTheKill(Micros deadline, bool nodes) {
+  SCOPED_TRACE("deadline " + std::to_string(deadline));
+  Stage stage(ConfigText(deadline, nodes ? NodeEntry() : "", "1024"));
+  SilentNode node(stage);
+  constexpr Micros kTerminates = 1 * kSecond;
+  const Micros kill = kTerminates + std::min(deadline, 3 * kSecond) + 700 * kMs;
+  std::list<Asking> all;
+  for (const auto& [connects, sends] : std::vector<std::pair<int, int>>{{-900, -40},
+                                                                        {-900, -1},
+                                                                        {-10, 0},
+                                                                        {0, 1},
+                                                                        {100, 110},
+                                                                        {200, 300},
+                                                                        {380, 400},
+                                                                        {390, 500},
+                                                                        {390, 650},
+                                                                        {390, 699},
+                                                                        {390, 701},
+                                                                        {390, 750},
+                                                                        {390, 799},
+                                                                        {390, 820},
+                                                                        {790, 900},
+                                                                        {799, 990}}) {
+    Asking& one = all.emplace_back();
+    one.connects = connects * kMs;
+    one.sends = sends * kMs;
+  }
+  const auto story = [&]() -> Task<> {
+    for (Asking& one : all) {
+      one.task = Ask(stage, one, kTerminates);
+      one.task.Start();
+    }
+    co_await stage.Until(kTerminates);
+    stage.Terminate();
+    co_await stage.Until(kill);
+    for (const Asking& one : all) {
+      if (kTerminates + one.sends >= kill) continue;
+      // Sent on a link that is open still, and not answered.
+      EXPECT_TRUE(one.over) << "connected " << one.connects / kMs << " ms, sent " << one.sends / kMs
+                            << " ms after SIGTERM";
+      // Never sent on: refused.
+      if (nodes || one.answer.empty()) continue;
+      EXPECT_EQ(one.answer.substr(0, 12), "HTTP/1.1 503");
+    }
+    EXPECT_TRUE(stage.ended());
+    stage.Over();
+  };
+  stage.Play(story());
+  EXPECT_EQ(stage.counters().left, 0u);
+}
+
+}  // namespace
+
+TEST(Ends, NothingIsOwedWhenThePlatformMayKillIt) {
+  for (const Micros deadline : {50 * kMs, 600 * kMs, 2 * kSecond, 3 * kSecond, 4 * kSecond, 30 * kSecond}) {
+    NothingIsOwedAtTheKill(deadline, true);
+    NothingIsOwedAtTheKill(deadline, false);
+  }
+}
+
+}  // namespace burlfall
