--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -9,12 +9,16 @@
 namespace burlfall {
 namespace {
 
-// After the word to end, connections still come for up to 0.4 s; they would be refused without a listener. A
-// little longer does no harm where the platform waits: it does for the longest deadline and 0.7 s.
 constexpr char kOwnFolder[] = "$TMPDIR";  // of the saved list: where the configuration says
+// After the word to end, connections still come for up to 0.4 s; they would be refused without a listener. A
+// little longer does no harm where the platform waits: it does for the longest deadline, or 3 s where that is
+// longer, and 0.7 s. What it finds unanswered then is lost.
 constexpr Micros kStillCome = 400 * kMs;
 constexpr Micros kDrainFor = 800 * kMs;
-constexpr Micros kCloseFor = 300 * kMs;  // for links that owe nothing
+constexpr Micros kMostWaitedFor = 3 * kSecond;
+constexpr Micros kKilledAfter = 700 * kMs;
+constexpr Micros kBeforeKill = 100 * kMs;  // the answers are still to be written, and read
+constexpr Micros kCloseFor = 300 * kMs;    // for links that owe nothing
 constexpr Micros kCloseStep = 20 * kMs;
 constexpr Micros kFinishFor = 300 * kMs;      // for the last lines, where what takes them is slow
 constexpr Micros kCountsFor = 600 * kSecond;  // members that were lost from sight
@@ -32,10 +36,19 @@
 
 size_t Calls(size_t descriptors) { return std::clamp(descriptors / kCallsPart, kLeastCalls, kMostCalls); }
 
-Micros DrainFor(const meadowslip::Settings& settings) {
+Micros LongestDeadline(const meadowslip::Settings& settings) {
   Micros longest = 0;
   for (const meadowslip::RequestClass& c : settings.classes) longest = std::max(longest, c.deadline);
-  return std::min(kDrainFor, kStillCome + longest / 2);
+  return longest;
+}
+
+Micros DrainFor(const meadowslip::Settings& settings) {
+  return std::min(kDrainFor, kStillCome + LongestDeadline(settings) / 2);
+}
+
+// From the word to end: by then all that is owed is answered.
+Micros AnswersWithin(const meadowslip::Settings& settings) {
+  return std::min(LongestDeadline(settings), kMostWaitedFor) + kKilledAfter - kBeforeKill;
 }
 
 // Several balancers may share the folder, by different names.
@@ -233,6 +246,13 @@
 Task<> Program::Begin() {
   std::optional<Estate> estate;
   if (handover_) estate = co_await handover_->Claim();
+  if (estate && told_to_end_at_) {
+    // Whoever has the door keeps it. Guards against both ending where one was told to.
+    handover_.reset();
+    phase_ = Phase::kStopped;
+    machine_.scheduler().Stop();
+    co_return;
+  }
   if (!estate || !TakeOver(*estate)) BeginAlone();
   if (capture_) capture_->Start();
   began_at_ = machine_.Now();
@@ -240,7 +260,7 @@
     asking_->Begin(began_at_, hosts_.Ready() > 0, machine_.Draw(), estate ? 0 : BeganBefore());
   }
   // Where starts are paced, the service hands out whole lists first and begins watches once all have theirs.
-  const bool has_list = !asking_ && hosts_.Ready() > 0;
+  const bool has_list = !asking_ && !list_moved_ && hosts_.Ready() > 0;
   discovery_.Start(has_list ? std::optional<uint64_t>(hosts_.version()) : std::nullopt);
   dispatcher_.OnList(hosts_.AsItStands());
   // A module that was taken over may believe that discovery is followed.
@@ -264,7 +284,7 @@
     log_.Tell<"start_phase">(start::NameOf(told_phase_), 0, (asking_->next_at() - began_at_) / kMs,
                              asking_->window() / kMs, counters_.list_calls);
   }
-  if (end_asked_) Drain();
+  if (told_to_end_at_) Drain();
 }
 
 // From the list that the configuration came with.
@@ -570,8 +590,11 @@
 }
 
 void Program::HandOn() {
-  before_hand_on_ = phase_;
-  phase_ = Phase::kHandedOver;
+  // One that closes goes on closing. Guards against taking back a door that it has not any more.
+  if (phase_ != Phase::kClosing) {
+    before_hand_on_ = phase_;
+    phase_ = Phase::kHandedOver;
+  }
   log_.Tell<"handed_over">(front_.open(), dispatcher_.open());
   front_.Shut();
   member_.reset();  // without a word: the heir goes on in its place, and nobody misses it
@@ -598,6 +621,7 @@
   Join();
   hosts_.LeaveCold(false, machine_.Now());
   HostsChanged();
+  if (told_to_end_at_) Drain();
   moved_.Notify();
 }
 
@@ -663,7 +687,10 @@
 }
 
 void Program::Drain() {
-  end_asked_ = true;
+  if (!told_to_end_at_) {
+    told_to_end_at_ = machine_.Now();
+    dispatcher_.EndBy(*told_to_end_at_ + AnswersWithin(config_.settings));
+  }
   if (!Serving()) return;
   phase_ = Phase::kDraining;
   log_.Tell<"draining">(front_.open());
@@ -677,7 +704,12 @@
   config_.discovery = config.discovery;
   config_.sockets = config.sockets;
   Allow();
-  discovery_.Again();
+  // Nothing could take a list yet: the start itself then asks, at the new place, for the whole of it.
+  if (phase_ == Phase::kStarting) {
+    list_moved_ = true;
+  } else {
+    discovery_.Again();
+  }
   return same;
 }
 
@@ -724,7 +756,8 @@
 }
 
 Task<> Program::Drained() {
-  const Micros until = machine_.Now() + DrainFor(config_.settings);
+  // Counted from the word to end: the platform counts from there, whatever lay between.
+  const Micros until = *told_to_end_at_ + DrainFor(config_.settings);
   while (phase_ == Phase::kDraining && machine_.Now() < until) co_await moved_.Wait(until);
   if (phase_ == Phase::kDraining) phase_ = Phase::kClosing;
 }
--- a/tests/service/upgrade_test.cpp
+++ b/tests/service/upgrade_test.cpp
@@ -4,6 +4,8 @@
 #include <sys/un.h>
 
 #include <chrono>
+#include <cstring>
+#include <functional>
 #include <memory>
 #include <set>
 #include <thread>
@@ -360,4 +362,229 @@
   CHECK(other.output.find("no way to n1") == std::string::npos);
 }
 
+// ---- Signals, and an heir that dies, in any order --------------------------------------------------------
+
+namespace {
+
+// What this process has heard of by now it has acted on: two turns have gone by since.
+void TwoTurns(Program& program) {
+  for (int i = 0; i < 2; ++i) {
+    program.Signal(SIGUSR1);
+    std::string line = program.AnyLine();
+    while (!line.empty() && line.find("taken=") == std::string::npos) {
+      program.output += line;
+      line = program.AnyLine();
+    }
+    program.output += line;
+  }
+}
+
+// An heir that claims the door; it is scripted from then on.
+Descriptor Claimed(const Platform& platform) {
+  Descriptor heir = Meet(platform.socket());
+  Say(heir, Pack('T', Claim{kHandoverVersion, "n1"}));
+  CHECK(Hear(heir).front() == 'Z');
+  return heir;
+}
+
+}  // namespace
+
+TEST_CASE(
+    "an heir that takes the door of a process that closes already, and dies, ends nothing that is owed") {
+  Platform platform;
+  Peer server;
+  Program old(SiteText(Entry("s-1", server.port)), {"serve"}, nullptr, platform.world());
+  Link busy = Link::To(platform.door.port);
+  busy.Write(Get("t1"));
+  Link at_work = server.Accept();
+  at_work.Read();
+  old.Signal(SIGTERM);
+  CHECK(Says(old, "draining: "));
+  {
+    const Descriptor heir = Claimed(platform);
+    CHECK(Says(old, "closing: "));
+    Say(heir, "S");
+    CHECK(Says(old, "handed over"));
+  }
+  TwoTurns(old);
+  at_work.Write(Ok("owed"));
+  CHECK(busy.Read().ends_with("owed"));
+  CHECK(old.Wait() == 0);
+}
+
+TEST_CASE("a process that was told to end ends, also where it takes the door back from an heir that died") {
+  Platform platform;
+  Peer server;
+  Program old(SiteText(Entry("s-1", server.port)), {"serve"}, nullptr, platform.world());
+  Link busy = Link::To(platform.door.port);
+  busy.Write(Get("t1"));
+  Link at_work = server.Accept();
+  at_work.Read();
+  {
+    const Descriptor heir = Claimed(platform);
+    Say(heir, "S");
+    CHECK(Says(old, "handed over"));
+    old.Signal(SIGTERM);
+    TwoTurns(old);
+  }
+  CHECK(Says(old, "this one serves again"));
+  at_work.Write(Ok("owed"));
+  CHECK(busy.Read().ends_with("owed"));
+  REQUIRE(old.EndsUnread());
+  CHECK(old.Wait() == 0);
+  CHECK(old.output.find("draining: ") != std::string::npos);
+}
+
+namespace {
+
+// The process before, scripted up to its heir's word that it serves. Between the claim and the estate it does
+// what the story says, with the heir's process.
+class ScriptedOld {
+ public:
+  ScriptedOld(const Platform& platform, const Peer& server, std::function<void(pid_t)> between = {})
+      : listener_(socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0)) {
+    sockaddr_un at{};
+    at.sun_family = AF_UNIX;
+    platform.socket().copy(at.sun_path, sizeof at.sun_path - 1);
+    REQUIRE(bind(listener_.get(), reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+    REQUIRE(listen(listener_.get(), 1) == 0);
+    estate_.list = 5;
+    HostRecord& host = estate_.hosts.emplace_back();
+    host.id = 1;
+    host.name = "s-1";
+    host.address = "127.0.0.1:" + std::to_string(server.port);
+    host.listed = meadowslip::BackendState::kReady;
+    thread_ = std::thread([this, between = std::move(between)] { Run(between); });
+  }
+  ScriptedOld(const ScriptedOld&) = delete;
+  ~ScriptedOld() { Join(); }
+  void Join() {
+    if (thread_.joinable()) thread_.join();
+  }
+  bool took_door() const { return took_door_; }  // once joined: the heir says that it serves
+  void Pass(const Link& link, const PassedLink& as) const {
+    const std::string message = Pack('L', as);
+    iovec part{const_cast<char*>(message.data()), message.size()};
+    alignas(cmsghdr) char space[CMSG_SPACE(sizeof(int))] = {};
+    msghdr header{};
+    header.msg_iov = &part;
+    header.msg_iovlen = 1;
+    header.msg_control = space;
+    header.msg_controllen = sizeof space;
+    cmsghdr* rights = CMSG_FIRSTHDR(&header);
+    rights->cmsg_level = SOL_SOCKET;
+    rights->cmsg_type = SCM_RIGHTS;
+    rights->cmsg_len = CMSG_LEN(sizeof(int));
+    const int fd = link.fd();
+    std::memcpy(CMSG_DATA(rights), &fd, sizeof fd);
+    REQUIRE(sendmsg(heir_.get(), &header, MSG_NOSIGNAL) > 0);
+  }
+  void End() { heir_ = Descriptor(); }
+
+ private:
+  void Run(const std::function<void(pid_t)>& between) {
+    if (!Readable(listener_.get(), kPatience * 1000)) return;
+    heir_ = Descriptor(accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC));
+    std::string message = Hear(heir_);
+    ucred who{};
+    socklen_t length = sizeof who;
+    getsockopt(heir_.get(), SOL_SOCKET, SO_PEERCRED, &who, &length);
+    if (between) between(who.pid);
+    for (const std::string& piece : Pieces(std::move(estate_))) {
+      send(heir_.get(), piece.data(), piece.size(), MSG_NOSIGNAL);
+    }
+    while (!(message = Hear(heir_)).empty() && message.front() != 'S') {
+    }
+    took_door_ = !message.empty();
+  }
+
+  Descriptor listener_, heir_;
+  Estate estate_;
+  bool took_door_ = false;
+  std::thread thread_;
+};
+
+// Sends the signal, and waits until the process has taken it.
+void SignalAndWait(pid_t process, int signal) {
+  kill(process, signal);
+  Until([&] {
+    const std::string status = Text("/proc/" + std::to_string(process) + "/status");
+    const size_t at = status.find("ShdPnd:\t");
+    return at != std::string::npos &&
+           (std::stoull(status.substr(at + 8), nullptr, 16) >> (signal - 1) & 1U) == 0;
+  });
+}
+
+}  // namespace
+
+TEST_CASE("an heir that is told to end before it serves leaves the door to the old process, and ends") {
+  Platform platform;
+  Peer server;
+  ScriptedOld old(platform, server, [](pid_t heir) { SignalAndWait(heir, SIGTERM); });
+  Program heir(SiteText(Entry("s-1", server.port)), {"serve"}, nullptr, platform.world());
+  REQUIRE(heir.EndsUnread());
+  CHECK(heir.Wait() == 0);
+  old.Join();
+  CHECK_FALSE(old.took_door());
+}
+
+TEST_CASE("SIGHUP while a process awaits its estate: it begins at the discovery that the file now names") {
+  Platform platform;
+  Peer server, before, now;
+  Setup setup = {.known = Entry("s-1", server.port), .discovery = before.port};
+  const TextFile file(ConfigText(setup));
+  setup.discovery = now.port;
+  ScriptedOld old(platform, server, [&](pid_t heir) {
+    file.Write(ConfigText(setup));
+    SignalAndWait(heir, SIGHUP);
+    if (!Readable(now.fd(), 300)) return;  // as it should be: it has nothing yet that could take a list
+    Link call = now.Accept();
+    call.Read();
+    call.TryWrite(Ok(List(2, true, Entry("s-1", server.port))));
+    call.Read();
+  });
+  World world = platform.world();
+  world.variables["PROXY_CONFIG"] = file.path;
+  Program heir("", {"serve"}, nullptr, world);
+  old.Join();
+  CHECK(old.took_door());
+  Link call = now.Accept();
+  // Versions may differ there: the whole list.
+  CHECK(call.Read().starts_with("GET /discovery/hosts HTTP/1.1\r\n"));
+  call.Write(Ok(List(2, true, Entry("s-1", server.port))));
+  CHECK(call.Read().starts_with("GET /discovery/hosts?index=2&wait="));
+  CHECK_FALSE(before.Called());
+  Link client = Link::To(platform.door.port);
+  CHECK(Served(client, server, "t1").ends_with("fine"));
+  CHECK(heir.Wait(SIGTERM) == 0);
+}
+
+TEST_CASE("links on their way are taken also where the old process ended with words of the heir's unread") {
+  Platform platform;
+  Peer server, elsewhere;
+  ScriptedOld old(platform, server);
+  Program heir(SiteText(Entry("s-1", server.port)), {"serve"}, nullptr, platform.world());
+  old.Join();
+  REQUIRE(old.took_door());
+  REQUIRE(Tell(heir.admin, "/nodes/s-1/maint") == 200);  // told to the old one, which does not read it
+  REQUIRE(Tell(heir.admin, "/nodes/s-1/ready") == 200);
+  Link client = Link::To(elsewhere.port);
+  heir.Signal(SIGSTOP);
+  siginfo_t info{};
+  REQUIRE(waitid(P_PID, static_cast<id_t>(heir.pid()), &info, WSTOPPED | WNOWAIT) == 0);
+  {
+    const Link accepted = elsewhere.Accept();
+    old.Pass(accepted, {true, 0, "GET /look?user=1 HTTP/1.1\r\n"});
+  }
+  old.End();
+  heir.Signal(SIGCONT);
+  client.Write("X-Trace-Id: t1\r\n\r\n");
+  REQUIRE(Readable(server.fd(), kPatience * 1000));
+  Link link = server.Accept();
+  CHECK(link.Read().find("X-Trace-Id: t1\r\n") != std::string::npos);
+  link.Write(Ok("fine"));
+  CHECK(client.Read().ends_with("fine"));
+  CHECK(heir.Wait(SIGTERM) == 0);
+}
+
 }  // namespace burlfall
