Lists: a second silence in a row is found out in time for what it missed

The lines at fault: list_clock.cpp:15 (5.5 s of patience already for the second) and :59 (a pause after a silence, which was one itself). Ruled out: a service whose connections don't come up, which is found out after 1.5 s each time (discovery.cpp:14). Now the second is waited for 3.5 s and the third for 5.5 s, so that a line of 5 s is still heard in the end, and the call after a silence goes out within 0.3 s: heard 5.3 to 5.6 s after the second silence began.

Failed before: Watch.ASecondSilenceInARow....

--- a/src/membership/list_clock.cpp
+++ b/src/membership/list_clock.cpp
@@ -1,6 +1,8 @@
 #include "membership/list_clock.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <iterator>
 
 namespace burlfall {
 namespace {
@@ -10,11 +12,13 @@
 constexpr Micros kWatchWait = ListClock::kSilenceCounts / 3;
 constexpr Micros kLeastWait = kSecond;
 constexpr Micros kLate = kSecond;  // an answer may come so long after its wait
-// For a place in line. The second time in a row it is longer: where the line alone takes so much, a call that
-// is given up goes to its end again and again.
-constexpr Micros kInLine = 2500 * kMs, kLongInLine = 5500 * kMs;
+// For a place in line, after so many silences in a row: where the line alone takes so much, a call that is
+// given up goes to its end again and again. The second leaves time for a third before what it missed counts.
+constexpr Micros kInLine[] = {2500 * kMs, 3500 * kMs, 5500 * kMs};
 // Between two calls that failed, where something is missed: drawn around it, half as much again with each.
 constexpr Micros kLeastPause = 300 * kMs, kMostPause = kSecond;
+// After a silence, which was a pause itself.
+constexpr Micros kSilencePause = 300 * kMs;
 // Where nothing was missed yet: drawn around it. What the service has the moment after counts 6 s later: so a
 // call may be turned away after 2 s in line, and one more has time to stand in it.
 constexpr Micros kUsualPause = 1200 * kMs;
@@ -36,7 +40,7 @@
 }
 
 Micros ListClock::patience(bool watch, bool opens) const {
-  const Micros line = silent_ > 0 ? kLongInLine : kInLine;
+  const Micros line = kInLine[std::min<size_t>(static_cast<size_t>(silent_), std::size(kInLine) - 1)];
   if (!watch) return line;
   return opens ? std::max(line, wait() + kLate) : wait() + kLate;
 }
@@ -61,8 +65,8 @@
 // Whatever is allowed after a call that failed, a change counts 6 s after the service had it and could be
 // reached: so it is asked again in time for that, also where the settings give longer.
 Micros ListClock::PauseAfter(ListCallEnd how, Micros retry_after, double draw) const {
-  if (how == ListCallEnd::kSilent && failed_ == 1) return 0;
   const Micros pause = Pause(draw);
+  if (how == ListCallEnd::kSilent) return failed_ == 1 ? 0 : std::min(pause, Part(kSilencePause, draw));
   // What is missed already, or counts at once, leaves no time for a Retry-After.
   if (retry_after == 0 || rules_.pushed || counts_at_ != kNever) return pause;
   const Micros heeded = std::min({retry_after, rules_.must_ask_within / kPartsOfAsking, kMostHeeded});
--- a/tests/membership/watch_test.cpp
+++ b/tests/membership/watch_test.cpp
@@ -489,6 +489,22 @@
   EXPECT_EQ(played.calls.size(), 2u);
 }
 
+// Two silences in a row, the second of a call that stands in line: each is found out with time left.
+TEST(Watch, ASecondSilenceInARowIsFoundOutInTimeAsWell) {
+  for (uint64_t seed = 1; seed <= 12; ++seed) {
+    Micros second = 0;
+    const Played played = Play(
+        [&](size_t call, const std::string& path, Micros at) {
+          if (call == 1) second = at;
+          if (call < 2) return Service::Say{};
+          return Service::Say{Ok(kNothing), call == 2 ? 1800 * kMs : WaitIn(path)};
+        },
+        14 * kSecond, false, 1, 10 * kSecond, seed);
+    ASSERT_FALSE(played.heard.empty());
+    EXPECT_LE(played.heard[0], second + 6 * kSecond) << seed;
+  }
+}
+
 // A line that takes longer than a call is waited for at first: once in a row it is waited out.
 TEST(Watch, ALineOfFiveSecondsIsHeardInTheEnd) {
   const Played played = Play(
