--- a/src/membership/list_clock.cpp
+++ b/src/membership/list_clock.cpp
@@ -1,6 +1,8 @@
 #include "membership/list_clock.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <iterator>
 
 namespace burlfall {
 namespace {
@@ -10,17 +12,27 @@
 constexpr Micros kWatchWait = ListClock::kSilenceCounts / 3;
 constexpr Micros kLeastWait = kSecond;
 constexpr Micros kLate = kSecond;  // an answer may come so long after its wait
-// For a place in line. The second time in a row it is longer: where the line alone takes so much, a call that
-// is given up goes to its end again and again.
-constexpr Micros kInLine = 2500 * kMs, kLongInLine = 5500 * kMs;
+// For a place in line, after so many silences in a row: where the line alone takes so much, a call that is
+// given up goes to its end again and again. The second leaves time for a third before what it missed counts.
+constexpr Micros kInLine[] = {2500 * kMs, 3500 * kMs, 5500 * kMs};
 // Between two calls that failed, where something is missed: drawn around it, half as much again with each.
 constexpr Micros kLeastPause = 300 * kMs, kMostPause = kSecond;
-// A Retry-After is heeded up to here, in parts of the time within which the service wants to be asked.
+// After a silence, which was a pause itself.
+constexpr Micros kSilencePause = 300 * kMs;
+// Where nothing was missed yet: drawn around it. What the service has the moment after counts 6 s later: so a
+// call may be turned away after 2 s in line, and one more has time to stand in it.
+constexpr Micros kUsualPause = 1200 * kMs;
+// A Retry-After is heeded up to here there, and in parts of the time within which the service wants to be
+// asked, with a part drawn on top. Guards the service against all those that it turned away in one moment.
+constexpr Micros kMostHeeded = kSecond, kHeededSpread = 800 * kMs;
 constexpr int kPartsOfAsking = 3;
 // Where lists are pushed, in parts of the grace that is left once a drain counts.
 constexpr int kPartsOfGrace = 4;
 constexpr Micros kPushedPause = 200 * kMs;
 
+Micros Part(Micros whole, double draw) { return static_cast<Micros>(draw * static_cast<double>(whole)); }
+Micros Around(Micros mean, double draw) { return Part(mean, 0.5 + draw); }
+
 }  // namespace
 
 Micros ListClock::wait() const {
@@ -28,7 +40,7 @@
 }
 
 Micros ListClock::patience(bool watch, bool opens) const {
-  const Micros line = silent_ > 0 ? kLongInLine : kInLine;
+  const Micros line = kInLine[std::min<size_t>(static_cast<size_t>(silent_), std::size(kInLine) - 1)];
   if (!watch) return line;
   return opens ? std::max(line, wait() + kLate) : wait() + kLate;
 }
@@ -44,9 +56,21 @@
     const Micros most = std::min(kPushedPause, rules_.drain_grace / kPartsOfGrace);
     return std::max(10 * kMs, static_cast<Micros>((0.5 + 0.5 * draw) * static_cast<double>(most)));
   }
+  if (counts_at_ == kNever) return Around(kUsualPause, draw);
   Micros pause = kLeastPause;
   for (int i = 1; i < failed_ && pause < kMostPause; ++i) pause += pause / 2;
-  return static_cast<Micros>((0.5 + draw) * static_cast<double>(std::min(pause, kMostPause)));
+  return Around(std::min(pause, kMostPause), draw);
+}
+
+// Whatever is allowed after a call that failed, a change counts 6 s after the service had it and could be
+// reached: so it is asked again in time for that, also where the settings give longer.
+Micros ListClock::PauseAfter(ListCallEnd how, Micros retry_after, double draw) const {
+  const Micros pause = Pause(draw);
+  if (how == ListCallEnd::kSilent) return failed_ == 1 ? 0 : std::min(pause, Part(kSilencePause, draw));
+  // What is missed already, or counts at once, leaves no time for a Retry-After.
+  if (retry_after == 0 || rules_.pushed || counts_at_ != kNever) return pause;
+  const Micros heeded = std::min({retry_after, rules_.must_ask_within / kPartsOfAsking, kMostHeeded});
+  return std::max(pause, heeded + Part(kHeededSpread, draw));
 }
 
 void ListClock::Ended(Micros now, ListCallEnd how, Micros retry_after, double draw) {
@@ -65,10 +89,7 @@
   } else {
     silent_ = 0;
   }
-  if (counts_at_ == kNever && !rules_.pushed) return;  // the module asks when it is time
-  const bool first_silence = how == ListCallEnd::kSilent && failed_ == 1;
-  const Micros asked_for = std::min(retry_after, rules_.must_ask_within / kPartsOfAsking);
-  ask_at_ = first_silence ? now : now + std::max(Pause(draw), asked_for);
+  ask_at_ = now + PauseAfter(how, retry_after, draw);
 }
 
 }  // namespace burlfall
