Upstream: a server that pours on keeps nobody waiting, and its attempt ends by its time

Seen: chunks of one byte with 4,000 of extension, always more to be read: all 65,537 pieces (256 MB) were read in one turn, past the attempt's 0.5 ms, and nobody else had theirs: the loop (http_upstream.cpp, after the last byte is written) looks at the clock only where it waits. Ruled out: memory, which is bounded by the body. After 16 pieces it now looks, and lets others go; no answer that is held has so many. Before: over in the first turn, error; after: timeout, others between.

--- a/src/upstream/http_upstream.cpp
+++ b/src/upstream/http_upstream.cpp
@@ -26,6 +26,9 @@
 // A server that takes or gives nothing of a message for so long has given up on it.
 constexpr Micros kStreamPatience = 10 * kSecond;
 
+// More than any sound answer that is held comes in.
+constexpr int kPiecesATurn = 16;
+
 std::string WriteQuery(const HttpPayload& query, Micros patience) {
   std::string out;
   out.reserve(512 + (query.body.size() <= kMostBody ? query.body.size() : 0));
@@ -226,10 +229,18 @@
   std::string in;
   Parsed parsed = Parsed::kMore;
   Micros go_on_at = kNever;
+  int pieces = 0;
   while (parsed == Parsed::kMore) {
     Io io = link->stream->Read(in);
     if (io == Io::kSome) {
       parsed = parser.Feed(in);
+      if (parsed != Parsed::kMore || ++pieces % kPiecesATurn != 0) continue;
+      // Guards the others, and the end of this one, against a server that pours on.
+      if (scheduler_.Now() >= until) {
+        answer.outcome = Outcome::kTimeout;
+        co_return answer;
+      }
+      co_await link->stream->Wait(scheduler_.Now());
     } else if (io == Io::kLater) {
       if (large_ && go_on_at == kNever && parser.Begun() && !parser.length()) {
         go_on_at = scheduler_.Now() + kGoOn;
--- a/tests/attempts/attempts_test.cpp
+++ b/tests/attempts/attempts_test.cpp
@@ -231,5 +231,83 @@
   });
 }
 
+// A server that pours on: there is always something more to be read.
+class Pouring final : public Stream {
+ public:
+  Pouring(Scheduler& scheduler, std::string piece) : Stream(scheduler), piece_(std::move(piece)) {}
+  State Opened() override { return State::kUp; }
+  Io Read(std::string& into) override {
+    into += first_.empty() ? piece_ : first_;
+    first_.clear();
+    return Io::kSome;
+  }
+  Io Write(std::string_view& bytes) override {
+    bytes = {};
+    return Io::kSome;
+  }
+  bool Quiet() override { return false; }
+  void Finish() override {}
+  void Reset() override {}
+  void Close() override {}
+  Address Peer() const override { return *ReadAddress(kAt); }
+  Address Local() const override { return *ReadAddress(kAt); }
+
+ private:
+  std::string first_ = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string piece_;
+};
+
+class PouringNetwork final : public Network {
+ public:
+  PouringNetwork(Scheduler& scheduler, std::string piece) : scheduler_(scheduler), piece_(std::move(piece)) {}
+  std::unique_ptr<Stream> ConnectFrom(const Address*, const Address&, NoConnection&) override {
+    return std::make_unique<Pouring>(scheduler_, piece_);
+  }
+  std::unique_ptr<Listener> Listen(const Address&) override { return nullptr; }
+  std::unique_ptr<Listener> Adopt(int) override { return nullptr; }
+  std::unique_ptr<Channel> Meet(const std::string&) override { return nullptr; }
+  std::unique_ptr<ChannelListener> Await(const std::string&, std::string&) override { return nullptr; }
+  std::unique_ptr<DatagramSocket> Bind(const Address&) override { return nullptr; }
+  std::unique_ptr<Writable> Datagrams(const Address&) override { return nullptr; }
+
+ private:
+  Scheduler& scheduler_;
+  const std::string piece_;
+};
+
+// A machine whose connections all lead there.
+class PouringMachine final : public Machine {
+ public:
+  PouringMachine(Machine& of, std::string piece) : of_(of), network_(of.scheduler(), std::move(piece)) {}
+  Scheduler& scheduler() override { return of_.scheduler(); }
+  Network& network() override { return network_; }
+  Files& files() override { return of_.files(); }
+  std::unique_ptr<DurableWriter> Durable() override { return of_.Durable(); }
+  Micros WallClock() override { return of_.WallClock(); }
+  uint64_t Entropy() override { return of_.Entropy(); }
+  std::unique_ptr<Writable> StandardError() override { return of_.StandardError(); }
+  size_t MostDescriptors() override { return of_.MostDescriptors(); }
+  size_t ResidentBytes() override { return of_.ResidentBytes(); }
+
+ private:
+  Machine& of_;
+  PouringNetwork network_;
+};
+
+// Chunks of one byte, each with as long an extension as is read: 256 MB until the body is longer than is
+// held.
+TEST_F(Attempts, AServerThatPoursOnKeepsNobodyWaitingAndEndsByItsTime) {
+  PouringMachine machine(balancer, "1;" + std::string(4000, 'x') + "\r\na\r\n");
+  upstream = std::make_unique<HttpUpstream>(machine, settings, hosts, budget, counters, false);
+  Play([&]() -> Task<> {
+    const Micros began = Now();
+    const auto sent = Send(500);
+    EXPECT_FALSE(sent->over);  // others have their turn
+    co_await Until(began + 1000);
+    EXPECT_TRUE(sent->over);
+    EXPECT_EQ(sent->answer.outcome, Outcome::kTimeout);
+  });
+}
+
 }  // namespace
 }  // namespace burlfall
