Upstream: a second answer that comes late is not taken for the next query's

Seen: a server sends its answer once more some milliseconds later; a query that went out on that link 2 ms after the first was given it: the third query of the test got the second's body. Nothing in HTTP/1.1 tells the two apart, and Reuse (http_upstream.cpp) took the link that had answered last. Ruled out: what came before the reuse, which Quiet() sees already. Without such servers nothing changes.

--- a/src/observe/counters.cpp
+++ b/src/observe/counters.cpp
@@ -26,6 +26,7 @@
   auto rare = [&all](const char* name, uint64_t value) {
     if (value > 0) all.emplace_back(name, value);
   };
+  rare("unasked", unasked);
   rare("denied", denied);
   rare("limited", limited);
   rare("not_ready", not_ready);
--- a/src/observe/counters.h
+++ b/src/observe/counters.h
@@ -27,7 +27,8 @@
   uint64_t reset = 0;
   uint64_t cancelled = 0;
   uint64_t moot = 0;
-  uint64_t lists = 0;  // from discovery
+  uint64_t unasked = 0;  // links closed over what their server sent behind its answer
+  uint64_t lists = 0;    // from discovery
   uint64_t lists_failed = 0;
   uint64_t list_calls = 0;  // to discovery, those of a watch too
   // Of the features; not told of while there is nothing to tell.
--- a/src/upstream/http_upstream.cpp
+++ b/src/upstream/http_upstream.cpp
@@ -272,6 +272,7 @@
   if (parsed != Parsed::kDone) co_return answer;
   auto message = std::make_unique<HttpPayload>(parser.Take());
   answer.outcome = ToOutcome(*message);
+  if (!in.empty()) NoteUnasked();
   if (message->keep_alive && in.empty()) Keep(host, std::move(link));
   if (answer.outcome == Outcome::kOk) answer.payload = std::move(message);
   co_return answer;
@@ -279,18 +280,31 @@
 
 std::unique_ptr<HttpUpstream::Link> HttpUpstream::Reuse(const Host& host) {
   Idle& idle = idle_[host.id];
-  while (!idle.empty()) {
-    std::unique_ptr<Link> link = std::move(idle.back());
-    idle.pop_back();
+  for (auto at = idle.end(); at != idle.begin();) {
+    --at;
+    // Guards against a second answer, which would be taken for that to the next query: nothing tells them
+    // apart.
+    if (!idle_record_.Rested(scheduler_.Now() - (*at)->idle_since, scheduler_.Now())) continue;
+    std::unique_ptr<Link> link = std::move(*at);
+    at = idle.erase(at);
     if (Usable(host, *link)) return link;
   }
   return nullptr;
 }
 
 // Guards against a query on a link that its server has closed: it would end as a reset.
-bool HttpUpstream::Usable(const Host& host, const Link& link) const {
+bool HttpUpstream::Usable(const Host& host, const Link& link) {
   const Micros now = scheduler_.Now(), idle = now - link.idle_since;
-  return link.era == host.era && idle < keep_for_ && idle_record_.Usable(idle, now) && link.stream->Quiet();
+  if (link.era != host.era || idle >= keep_for_ || !idle_record_.Usable(idle, now)) return false;
+  if (link.stream->Quiet()) return true;
+  std::string in;
+  if (link.stream->Read(in) == Io::kSome) NoteUnasked();
+  return false;
+}
+
+void HttpUpstream::NoteUnasked() {
+  ++counters_.unasked;
+  idle_record_.NoteUnasked(scheduler_.Now());
 }
 
 void HttpUpstream::Keep(const Host& host, std::unique_ptr<Link> link) {
--- a/src/upstream/http_upstream.h
+++ b/src/upstream/http_upstream.h
@@ -56,7 +56,8 @@
   Task<bool> WriteWhole(Stream& to, const Payload& query, std::string_view bytes, Micros until);
   Task<BodySource::Next> SendRest(Stream& to, std::shared_ptr<BodySource> more);
   std::unique_ptr<Link> Reuse(const Host& host);
-  bool Usable(const Host& host, const Link& link) const;
+  bool Usable(const Host& host, const Link& link);
+  void NoteUnasked();
   void Keep(const Host& host, std::unique_ptr<Link> link);
 
   Scheduler& scheduler_;
--- a/tests/attempts/attempts_test.cpp
+++ b/tests/attempts/attempts_test.cpp
@@ -309,5 +309,54 @@
   });
 }
 
+std::string Ok(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// A second answer that comes some moments after the first, on a link that is idle; and once servers were seen
+// to do so, on one that would else be in use again.
+TEST_F(Attempts, ASecondAnswerIsNobodysAlsoWhereItComesLate) {
+  Play([&]() -> Task<> {
+    const auto one = Send(3 * kSecond);
+    const auto first = Accept();
+    Read(*first);
+    Write(*first, Ok("one"));
+    co_await Until(Now() + 5 * kMs);
+    EXPECT_EQ(one->Body(), "one");
+    Write(*first, Ok("one").substr(0, 10));  // half a line is enough
+    co_await Until(Now() + 5 * kMs);
+    const auto two = Send(3 * kSecond);
+    const auto second = Accept();
+    EXPECT_TRUE(second) << "it went out on a link whose server had spoken out of turn";
+    if (!second) co_return;
+    EXPECT_EQ(Read(*first), "");
+    Read(*second);
+    Write(*second, Ok("two"));
+    co_await Until(Now() + 2 * kMs);
+    EXPECT_EQ(two->Body(), "two");
+    const auto three = Send(3 * kSecond);  // between an answer and the same once more
+    Write(*second, Ok("two"));
+    const auto third = Accept();
+    EXPECT_TRUE(third) << "it went out on a link that had not rested";
+    if (third) {
+      Read(*third);
+      Write(*third, Ok("three"));
+    }
+    co_await Until(Now() + 100 * kMs);
+    EXPECT_EQ(three->Body(), "three");
+    if (!third) co_return;
+    EXPECT_EQ(counters.unasked, 1u);
+    const auto four = Send(3 * kSecond);  // a link that has rested is used again
+    EXPECT_FALSE(Accept());
+    EXPECT_NE(Read(*third), "");
+    Write(*third, Ok("four") + "more");
+    co_await Until(Now() + 100 * kMs);
+    EXPECT_EQ(four->Body(), "four");
+    std::string none;
+    EXPECT_EQ(third->Read(none), Io::kClosed);  // and is not after that
+    EXPECT_EQ(counters.unasked, 2u);
+  });
+}
+
 }  // namespace
 }  // namespace burlfall
