--- a/tests/attempts/attempts_test.cpp
+++ b/tests/attempts/attempts_test.cpp
@@ -231,5 +231,132 @@
   });
 }
 
+// A server that pours on: there is always something more to be read.
+class Pouring final : public Stream {
+ public:
+  Pouring(Scheduler& scheduler, std::string piece) : Stream(scheduler), piece_(std::move(piece)) {}
+  State Opened() override { return State::kUp; }
+  Io Read(std::string& into) override {
+    into += first_.empty() ? piece_ : first_;
+    first_.clear();
+    return Io::kSome;
+  }
+  Io Write(std::string_view& bytes) override {
+    bytes = {};
+    return Io::kSome;
+  }
+  bool Quiet() override { return false; }
+  void Finish() override {}
+  void Reset() override {}
+  void Close() override {}
+  Address Peer() const override { return *ReadAddress(kAt); }
+  Address Local() const override { return *ReadAddress(kAt); }
+
+ private:
+  std::string first_ = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string piece_;
+};
+
+class PouringNetwork final : public Network {
+ public:
+  PouringNetwork(Scheduler& scheduler, std::string piece) : scheduler_(scheduler), piece_(std::move(piece)) {}
+  std::unique_ptr<Stream> ConnectFrom(const Address*, const Address&, NoConnection&) override {
+    return std::make_unique<Pouring>(scheduler_, piece_);
+  }
+  std::unique_ptr<Listener> Listen(const Address&) override { return nullptr; }
+  std::unique_ptr<Listener> Adopt(int) override { return nullptr; }
+  std::unique_ptr<Channel> Meet(const std::string&) override { return nullptr; }
+  std::unique_ptr<ChannelListener> Await(const std::string&, std::string&) override { return nullptr; }
+  std::unique_ptr<DatagramSocket> Bind(const Address&) override { return nullptr; }
+  std::unique_ptr<Writable> Datagrams(const Address&) override { return nullptr; }
+
+ private:
+  Scheduler& scheduler_;
+  const std::string piece_;
+};
+
+// A machine whose connections all lead there.
+class PouringMachine final : public Machine {
+ public:
+  PouringMachine(Machine& of, std::string piece) : of_(of), network_(of.scheduler(), std::move(piece)) {}
+  Scheduler& scheduler() override { return of_.scheduler(); }
+  Network& network() override { return network_; }
+  Files& files() override { return of_.files(); }
+  std::unique_ptr<DurableWriter> Durable() override { return of_.Durable(); }
+  Micros WallClock() override { return of_.WallClock(); }
+  uint64_t Entropy() override { return of_.Entropy(); }
+  std::unique_ptr<Writable> StandardError() override { return of_.StandardError(); }
+  size_t MostDescriptors() override { return of_.MostDescriptors(); }
+  size_t ResidentBytes() override { return of_.ResidentBytes(); }
+
+ private:
+  Machine& of_;
+  PouringNetwork network_;
+};
+
+// Chunks of one byte, each with as long an extension as is read: 256 MB until the body is longer than is
+// held.
+TEST_F(Attempts, AServerThatPoursOnKeepsNobodyWaitingAndEndsByItsTime) {
+  PouringMachine machine(balancer, "1;" + std::string(4000, 'x') + "\r\na\r\n");
+  upstream = std::make_unique<HttpUpstream>(machine, settings, hosts, budget, counters, false);
+  Play([&]() -> Task<> {
+    const Micros began = Now();
+    const auto sent = Send(500);
+    EXPECT_FALSE(sent->over);  // others have their turn
+    co_await Until(began + 1000);
+    EXPECT_TRUE(sent->over);
+    EXPECT_EQ(sent->answer.outcome, Outcome::kTimeout);
+  });
+}
+
+std::string Ok(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// A second answer that comes some moments after the first, on a link that is idle; and once servers were seen
+// to do so, on one that would else be in use again.
+TEST_F(Attempts, ASecondAnswerIsNobodysAlsoWhereItComesLate) {
+  Play([&]() -> Task<> {
+    const auto one = Send(3 * kSecond);
+    const auto first = Accept();
+    Read(*first);
+    Write(*first, Ok("one"));
+    co_await Until(Now() + 5 * kMs);
+    EXPECT_EQ(one->Body(), "one");
+    Write(*first, Ok("one").substr(0, 10));  // half a line is enough
+    co_await Until(Now() + 5 * kMs);
+    const auto two = Send(3 * kSecond);
+    const auto second = Accept();
+    EXPECT_TRUE(second) << "it went out on a link whose server had spoken out of turn";
+    if (!second) co_return;
+    EXPECT_EQ(Read(*first), "");
+    Read(*second);
+    Write(*second, Ok("two"));
+    co_await Until(Now() + 2 * kMs);
+    EXPECT_EQ(two->Body(), "two");
+    const auto three = Send(3 * kSecond);  // between an answer and the same once more
+    Write(*second, Ok("two"));
+    const auto third = Accept();
+    EXPECT_TRUE(third) << "it went out on a link that had not rested";
+    if (third) {
+      Read(*third);
+      Write(*third, Ok("three"));
+    }
+    co_await Until(Now() + 100 * kMs);
+    EXPECT_EQ(three->Body(), "three");
+    if (!third) co_return;
+    EXPECT_EQ(counters.unasked, 1u);
+    const auto four = Send(3 * kSecond);  // a link that has rested is used again
+    EXPECT_FALSE(Accept());
+    EXPECT_NE(Read(*third), "");
+    Write(*third, Ok("four") + "more");
+    co_await Until(Now() + 100 * kMs);
+    EXPECT_EQ(four->Body(), "four");
+    std::string none;
+    EXPECT_EQ(third->Read(none), Io::kClosed);  // and is not after that
+    EXPECT_EQ(counters.unasked, 2u);
+  });
+}
+
 }  // namespace
 }  // namespace burlfall
