HTTP: answers 204 and 304 have no body, whatever their headers say

Seen: of a 204 or 304 with Content-Length: 5 or chunks the parser waited for a body that never comes, so the attempt ran into the client's time: only those without framing were taken as they are (codec/http.cpp, Framing). Ruled out: answers to HEAD, which NoBody() covers. RFC 9112, 6.3, has them end with their head; the link is not kept where such a header stands, as its server may send the body all the same.

--- a/src/codec/http.cpp
+++ b/src/codec/http.cpp
@@ -249,9 +249,12 @@
            (SameName(h.name, "Transfer-Encoding") && &h.value != coding);
   });
   if (twice) return Parsed::kBad;
-  if (no_body_) {
+  if (no_body_ || message_.status == 204 || message_.status == 304) {
     left_ = 0;
     part_ = Part::kBody;
+    // It has no body, and says of which length: a sender that then sends one would be heard as the next
+    // answer.
+    if (!no_body_ && (coding != nullptr || length != nullptr)) message_.keep_alive = false;
   } else if (coding != nullptr) {
     if (!SameName(*coding, "chunked")) return Parsed::kBad;
     part_ = Part::kChunkSize;
@@ -260,7 +263,7 @@
     if (left_ > most_body_) return Parsed::kTooLarge;
     length_ = left_;
     part_ = Part::kBody;
-  } else if (kind_ == Kind::kResponse && message_.status != 204 && message_.status != 304) {
+  } else if (kind_ == Kind::kResponse) {
     part_ = Part::kToEnd;
     message_.keep_alive = false;
   } else {
--- a/tests/attempts/answers_test.cpp
+++ b/tests/attempts/answers_test.cpp
@@ -37,5 +37,22 @@
   }
 }
 
+// RFC 9112, 6.3: whatever their headers say.
+TEST(Answers, SomeHaveNoBody) {
+  const std::string framed = " No\r\nContent-Length: 5\r\n\r\n",
+                    chunked = " No\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& rest : {framed, chunked}) {
+    for (const char* status : {"204", "304"}) {
+      const Heard heard = Hear("HTTP/1.1 " + (status + rest) + "more", 1000);
+      EXPECT_EQ(heard.last, Parsed::kDone) << status << rest;
+      EXPECT_EQ(heard.message.status, std::stoi(status));
+      EXPECT_FALSE(heard.message.keep_alive);  // what its server sends next nobody can tell
+      EXPECT_EQ(heard.behind, "more");
+    }
+    EXPECT_EQ(Hear("HTTP/1.1 200" + rest, 1000, true).last, Parsed::kDone);  // to HEAD
+  }
+  EXPECT_TRUE(Hear("HTTP/1.1 304 No\r\n\r\n", 1000).message.keep_alive);
+}
+
 }  // namespace
 }  // namespace burlfall
