HTTP: a status of more than three digits is none

Seen: 'HTTP/1.1 2000 OK' and 'HTTP/1.1 200OK' were served as 200: of the status line three digits are read and what follows them was not looked at (codec/http.cpp, StartLine). Ruled out: other spoilt heads, framings, sizes and endless ones, ten of which the same test shows to be bad already. What follows must be nothing or a blank; a missing reason stays allowed. Before two of twelve spoilt answers were taken, after none.

--- a/src/codec/http.cpp
+++ b/src/codec/http.cpp
@@ -229,7 +229,9 @@
   } else {
     version = line.substr(0, one);
     size_t status = 0;
+    const std::string_view reason = line.substr(std::min(one + 4, line.size()));  // with the blank before it
     if (!Digits(line.substr(one + 1, 3), status, 10) || status < 100 || status > 599) return false;
+    if (!reason.empty() && !reason.starts_with(' ')) return false;
     message_.status = static_cast<int>(status);
   }
   message_.http_1_0 = version == "HTTP/1.0";
--- a/tests/attempts/answers_test.cpp
+++ b/tests/attempts/answers_test.cpp
@@ -54,5 +54,26 @@
   EXPECT_TRUE(Hear("HTTP/1.1 304 No\r\n\r\n", 1000).message.keep_alive);
 }
 
+TEST(Answers, OneThatIsSpoiltIsNone) {
+  for (const char* bad :
+       {"HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 20 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200OK\r\nContent-Length: 0\r\n\r\n", "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0x2\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n", "\r\nHTTP/1.1 200 OK\r\n\r\n"}) {
+    EXPECT_EQ(Hear(bad, 1000).last, Parsed::kBad) << bad;
+  }
+  EXPECT_EQ(Hear("HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n", 1000).last,
+            Parsed::kDone);  // no reason is a reason
+  EXPECT_EQ(Hear("HTTP/1.1 200 OK\r\nX: " + std::string(kMostHead, 'x'), 1000).last,
+            Parsed::kTooLarge);  // endless
+  std::string endless = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  while (endless.size() < 2 * kMostBody) endless += "100\r\n" + std::string(256, 'x') + "\r\n";
+  EXPECT_EQ(Hear(endless, 1000).last, Parsed::kTooLarge);
+}
+
 }  // namespace
 }  // namespace burlfall
