Upstream: a server that takes nothing of a large query's first part is given up

Seen: in service, a query of 192 KiB whose server reads nothing was written to without end: the part that is held had no time at all (http_upstream.cpp, the second write of Attempt: kNever where more is to come), nor does its client's time begin before its last byte. Ruled out: the rest, whose pieces have 10 s each, and queries held whole. It now has the same 10 s, and another server may have it then. Before: still out after 11 s of the virtual clock; after: could not connect, at 10 s.

--- a/src/upstream/http_upstream.cpp
+++ b/src/upstream/http_upstream.cpp
@@ -209,7 +209,9 @@
   bool whole = link->stream->Write(rest) == Io::kSome;
   if (!rest.empty()) whole = co_await WriteWhole(*link->stream, query, rest, whole_by);
   if (whole && query.body.size() > kMostBody && (!more || more->length)) {
-    whole = co_await WriteWhole(*link->stream, query, query.body, more ? kNever : whole_by);
+    // The client's time has not begun where its query has not come whole.
+    const Micros by = more ? scheduler_.Now() + kStreamPatience : whole_by;
+    whole = co_await WriteWhole(*link->stream, query, query.body, by);
   }
   if (!whole && query.closed) answer.outcome = Outcome::kMoot;
   if (!whole) co_return answer;
--- a/tests/attempts/attempts_test.cpp
+++ b/tests/attempts/attempts_test.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "dispatch/dispatcher.h"
+#include "front/upload.h"
 #include "upstream/http_upstream.h"
 #include "world/virtual_machine.h"
 
@@ -50,18 +51,21 @@
 
   // An attempt whose answer may come at any time.
   struct Sent {
+    explicit Sent(HttpMessage message) : query(std::move(message)) {}
     HttpPayload query;
     ServerAnswer answer;
     bool over = false;
     Task<> task;
     std::string Body() const { return static_cast<const HttpPayload&>(*answer.payload).body; }
   };
-  std::unique_ptr<Sent> Send(Micros patience, Micros whole_by = kNever, const std::string& body = "") {
+  std::unique_ptr<Sent> Send(Micros patience, Micros whole_by = kNever, const std::string& body = "",
+                             std::shared_ptr<BodySource> more = nullptr) {
     HttpMessage message;
     message.method = "POST";
     message.target = "/pay";
     message.body = body;
-    auto sent = std::make_unique<Sent>(HttpPayload(std::move(message)));
+    auto sent = std::make_unique<Sent>(std::move(message));
+    sent->query.more = std::move(more);
     sent->task = Exchange(*sent, Now() + patience, whole_by);
     sent->task.Start();
     return sent;
@@ -358,5 +362,21 @@
   });
 }
 
+// In service a large query flows: its first part is held, and the rest comes from the client.
+TEST_F(Attempts, AServerThatTakesNothingOfALargeQueryIsGivenUp) {
+  large = true;
+  const auto more = std::make_shared<Upload>(world.scheduler, [] {});
+  more->length = 3 * kMostBody;
+  Play([&]() -> Task<> {
+    const auto sent = Send(3 * kSecond, kNever, std::string(2 * kMostBody, 'x'), more);
+    co_await Until(Now() + 5 * kSecond);
+    EXPECT_FALSE(sent->over);  // a slow one has its time
+    co_await Until(Now() + 6 * kSecond);
+    EXPECT_TRUE(sent->over);
+    EXPECT_EQ(sent->answer.outcome, Outcome::kConnectFailed);
+    EXPECT_FALSE(sent->query.Spent());  // another server may have it
+  });
+}
+
 }  // namespace
 }  // namespace burlfall
