--- a/src/codec/http.cpp
+++ b/src/codec/http.cpp
@@ -229,7 +229,9 @@
   } else {
     version = line.substr(0, one);
     size_t status = 0;
+    const std::string_view reason = line.substr(std::min(one + 4, line.size()));  // with the blank before it
     if (!Digits(line.substr(one + 1, 3), status, 10) || status < 100 || status > 599) return false;
+    if (!reason.empty() && !reason.starts_with(' ')) return false;
     message_.status = static_cast<int>(status);
   }
   message_.http_1_0 = version == "HTTP/1.0";
@@ -249,9 +251,12 @@
            (SameName(h.name, "Transfer-Encoding") && &h.value != coding);
   });
   if (twice) return Parsed::kBad;
-  if (no_body_) {
+  if (no_body_ || message_.status == 204 || message_.status == 304) {
     left_ = 0;
     part_ = Part::kBody;
+    // It has no body, and says of which length: a sender that then sends one would be heard as the next
+    // answer.
+    if (!no_body_ && (coding != nullptr || length != nullptr)) message_.keep_alive = false;
   } else if (coding != nullptr) {
     if (!SameName(*coding, "chunked")) return Parsed::kBad;
     part_ = Part::kChunkSize;
@@ -260,7 +265,7 @@
     if (left_ > most_body_) return Parsed::kTooLarge;
     length_ = left_;
     part_ = Part::kBody;
-  } else if (kind_ == Kind::kResponse && message_.status != 204 && message_.status != 304) {
+  } else if (kind_ == Kind::kResponse) {
     part_ = Part::kToEnd;
     message_.keep_alive = false;
   } else {
