Lists: after SIGHUP the new place is asked as if nothing had failed, and its list counts 4 s later

Seen: the old place had been silent for 30 s, SIGHUP names a new one, whose first call is not answered: the list is heard 5.75 s after the word, for any MustAskIn (35,749,759 us, word at 30 s), where it counts 4 s later. The line at fault: discovery.cpp:62, Again() begins a new watch but kept the clock, so the new place's first call had the patience of the old one's third silence, and the pauses that the old one's failures had earned. Now the clock begins anew and knows that the list counts 4 s later: heard within them, asserted for MustAskIn 1, 10 and 60 s and the word at 1, 4 and 30 s.

--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -63,6 +63,7 @@
   watch_ = Task<>();
   link_.reset();
   following_ = true;
+  clock_.Anew(scheduler_.Now());
   if (pace_ != nullptr) pace_->BeginAnew(scheduler_.Now(), machine_.Draw());
   Start({});  // another service may count its versions otherwise
 }
--- a/src/membership/list_clock.cpp
+++ b/src/membership/list_clock.cpp
@@ -73,6 +73,12 @@
   return std::max(pause, heeded + Part(kHeededSpread, draw));
 }
 
+void ListClock::Anew(Micros now) {
+  silent_ = failed_ = 0;
+  ask_at_ = kNever;
+  counts_at_ = now + kNewPlaceCounts;
+}
+
 void ListClock::Ended(Micros now, ListCallEnd how, Micros retry_after, double draw) {
   if (how == ListCallEnd::kHeard) {
     silent_ = failed_ = 0;
--- a/src/membership/list_clock.h
+++ b/src/membership/list_clock.h
@@ -31,6 +31,8 @@
   // wait that the call asked for, whichever is later (protocol page).
   static constexpr Micros kSilenceCounts = 6 * kSecond;
   static constexpr Micros kWaitCounts = 2 * kSecond;
+  // What another service has counts so long after the word to ask it (standing test).
+  static constexpr Micros kNewPlaceCounts = 4 * kSecond;
 
   explicit ListClock(const ListRules& rules) : rules_(rules) {}
 
@@ -40,6 +42,8 @@
   // does not.
   Micros patience(bool watch, bool opens) const;
 
+  // Another service is asked from now on: how the one before behaved says nothing of it.
+  void Anew(Micros now);
   void Called(Micros now, bool watch);
   // `retry_after`: what the service asked for; 0: nothing.
   void Ended(Micros now, ListCallEnd how, Micros retry_after, double draw);
--- a/tests/membership/list_clock_test.cpp
+++ b/tests/membership/list_clock_test.cpp
@@ -117,6 +117,25 @@
   EXPECT_GE(clock.ask_at(), 50 * kMs);  // and yet not in a closed loop
 }
 
+// What the service before did buys the new one no patience: it is found silent, and asked again, in time.
+TEST(ListClock, AnotherServiceIsAskedAsIfNothingHadFailedYetAndCountsFourSecondsLater) {
+  ListClock clock(kAsked);
+  const Micros patience = clock.patience(false, true);
+  Micros now = 0;
+  for (int i = 0; i < 5; ++i) {
+    clock.Called(now, true);
+    now += clock.patience(true, true);
+    clock.Ended(now, kSilent, 0, 0.5);
+  }
+  clock.Anew(now);
+  EXPECT_EQ(clock.counts_at(), now + 4 * kSecond);
+  EXPECT_EQ(clock.patience(false, true), patience);
+  clock.Called(now, false);
+  clock.Ended(now + patience, kSilent, 0, 0.999);
+  EXPECT_EQ(clock.ask_at(), now + patience);
+  EXPECT_LE(clock.counts_at(), now + 4 * kSecond);  // a silence puts nothing off
+}
+
 TEST(ListClock, ALineThatIsLongerThanThePatienceIsWaitedForTheSecondTime) {
   ListClock clock(kAsked);
   const Micros first = clock.patience(false, true);
--- a/tests/membership/watch_test.cpp
+++ b/tests/membership/watch_test.cpp
@@ -340,6 +340,7 @@
   config.discovery = old_place;
   config.settings.must_subscribe = !pushed;
   config.settings.must_ask_within = must_ask;
+  config.settings.drain_grace = 750 * kMs;
   Service one(world, old_place, before), other(world, new_place, after);
   Counters counters;
   Reloaded played;
@@ -382,6 +383,45 @@
   return kNever;
 }
 
+// Whatever the old place did before, and whatever time the settings give for asking.
+TEST(Reload, TheNewPlacesListIsHeardWithinFourSecondsThoughItIsSilentAtFirst) {
+  for (Micros must_ask : {kSecond, 10 * kSecond, 60 * kSecond}) {
+    for (Micros at : {kSecond, 4 * kSecond, 30 * kSecond}) {
+      const Reloaded played = PlayReloads(
+          Silent(),
+          [](size_t call, const std::string& path, Micros now) {
+            return call == 0 ? Service::Say{} : NewPlace(path, now);
+          },
+          {{at}}, at + 8 * kSecond, must_ask);
+      EXPECT_LE(HeardFrom(played, 7, at), at + 4 * kSecond) << must_ask << " " << at;
+      ASSERT_FALSE(played.after.empty());
+      EXPECT_EQ(played.after[0].path, "/discovery/hosts");
+      EXPECT_LE(played.after[0].at, at + 10 * kMs);  // at once
+    }
+  }
+}
+
+TEST(Reload, TheNewPlacesListIsHeardWithinFourSecondsThoughItRefusesAtFirst) {
+  for (bool pushed : {false, true}) {
+    for (Micros must_ask : {kSecond, 10 * kSecond, 60 * kSecond}) {
+      for (const char* how : {"reset", "503", "hour", "500"}) {
+        const Reloaded played = PlayReloads(
+            Silent(),
+            [&](size_t, const std::string& path, Micros now) {
+              if (now >= 4500 * kMs) return NewPlace(path, now);
+              if (how == std::string("reset")) return Service::Say{.reset = true};
+              if (how == std::string("500"))
+                return Service::Say{std::string("HTTP/1.1 500 Ill\r\nContent-Length: 0\r\n\r\n")};
+              return Service::Say{std::string(how == std::string("503") ? kBusy : kBusyForAnHour)};
+            },
+            {{2 * kSecond}}, 9 * kSecond, must_ask, pushed);
+        EXPECT_LE(HeardFrom(played, 7, 0), 6 * kSecond) << must_ask << " " << how << " " << pushed;
+        EXPECT_LE(played.after.size(), 40u);
+      }
+    }
+  }
+}
+
 TEST(Reload, ToTheSamePlaceAsksForItsWholeListAtOnce) {
   const Reloaded played =
       PlayReloads([](size_t, const std::string& path, Micros now) { return NewPlace(path, now); }, Silent(),
