Lists: SIGHUP before the source is started asks nothing yet

Read: a process that waits for what the one before hands over (program.cpp:235, up to 1.5 s, Handover::Claim) hears SIGHUP meanwhile, and Reload() calls Again(), which began the watch: an answer then reached Program::Take() before there is a list's log (list_log_ is made by TakeOver() or BeginAlone(), :273 and :378, and used at :657 unchecked), and before the hosts that are handed over, which must come before all else (host_group.h). The line at fault: discovery.cpp:66, which took a source that was never started for one to begin anew. Ruled out: the members' word (list_behind comes after Join()), and Follow(), which only sets a flag. Now Again() does nothing before the start, which goes to where the configuration says.

Failed before: Reload.BeforeTheStartNothingIsAskedYet (heard 1 list, 0 expected). The end of the process itself was read, not run.

--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -44,6 +44,7 @@
 
 // Where lists are pushed nobody asks to follow, and what the service has counts from the first moment on.
 void Discovery::Start(std::optional<uint64_t> has) {
+  started_ = true;
   has_ = has;
   if (!config_.settings.must_subscribe) following_ = true;
   watch_ = Watch();
@@ -58,8 +59,10 @@
 
 // Ends the call at hand, which may wait for long yet. Guards the drain rule: word of a drain comes from the
 // new place alone, and the module believes that it is told of all, so it would not ask. All balancers may be
-// told of the new place in one moment, so where calls are paced this one goes in its turn there.
+// told of the new place in one moment, so where calls are paced this one goes in its turn there. Before the
+// start there is nobody yet who could take a list: that goes to where the configuration says by then.
 void Discovery::Again() {
+  if (!started_) return;
   watch_ = Task<>();
   link_.reset();
   following_ = true;
--- a/src/membership/discovery.h
+++ b/src/membership/discovery.h
@@ -51,6 +51,7 @@
   std::unique_ptr<Stream> link_;
   Event asked_;
   std::optional<uint64_t> has_;  // the version of the list that changes go on from; nothing: none
+  bool started_ = false;
   bool following_ = false;
   Task<> watch_;  // last: what it uses must outlive it
 };
--- a/tests/membership/watch_test.cpp
+++ b/tests/membership/watch_test.cpp
@@ -474,6 +474,35 @@
   EXPECT_GT(one, 0u);
 }
 
+// Before the source is started somebody else may yet hand over the list: whoever starts it says what it has.
+TEST(Reload, BeforeTheStartNothingIsAskedYet) {
+  world::World world(kBegin, 7);
+  world::VirtualMachine machine(world);
+  Config config;
+  config.discovery = *ReadAddress("127.0.0.9:8500");
+  Service service(world, config.discovery,
+                  [](size_t, const std::string& path, Micros now) { return NewPlace(path, now); });
+  Counters counters;
+  int heard = 0;
+  Discovery discovery(machine, config, counters, [&](const HostList*, const std::string&) { ++heard; });
+  discovery.Again();
+  const auto story = [&]() -> Task<> {
+    Event pause(world.scheduler);
+    co_await pause.Wait(kBegin + kSecond);
+    EXPECT_EQ(heard, 0);
+    EXPECT_TRUE(service.calls.empty());
+    discovery.Start(1);
+    discovery.Follow();
+    co_await pause.Wait(kBegin + 2 * kSecond);
+    world.scheduler.Halt();
+  };
+  Task<> playing = story();
+  playing.Start();
+  world.scheduler.Run();
+  ASSERT_FALSE(service.calls.empty());
+  EXPECT_TRUE(service.calls[0].path.starts_with("/discovery/hosts?index=1&"));
+}
+
 // ---- Forms of an answer ----------------------------------------------------------------------------------
 
 // In order, with an answer and without one, instead of telling: there may be news.
