Lists: a service that counts from further back each time is not asked in a loop

Seen on the virtual clock: a service whose whole list has version 9 and whose watches are answered at once with version 2 gets 1,000,000 calls in 3 s, one a turn of the loop and side: whole list, watch, whole list. The line at fault: discovery.cpp:121, the pause of 150 ms after a call that was answered at once held only where there was no news, and an older version is news to it. Ruled out: one such answer (the whole list is asked for as before, within the pause), a whole list with the version that is known (no news: paused before as well). Now the pause holds there too: at most two calls in 150 ms, 44 calls allowed by the test.

Failed before: Watch.AServiceThatCountsFromFurtherBackEachTimeIsNotAskedInALoop.

--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -116,9 +116,10 @@
     has_ = list.version;
     if (backwards) has_.reset();
     if (!backwards) told_(&list, answer.why);
-    // Guards discovery, which is shared and slow, against a watch that is answered at once with no news.
+    // Guards discovery, which is shared and slow, against a watch that is answered at once with no news, or
+    // each time with what is older than its whole list.
     const Micros pause_ends = called_at + kLeastPause;
-    while (!news && scheduler_.Now() < pause_ends) co_await asked_.Wait(pause_ends);
+    while ((!news || backwards) && scheduler_.Now() < pause_ends) co_await asked_.Wait(pause_ends);
   }
 }
 
--- a/tests/membership/watch_test.cpp
+++ b/tests/membership/watch_test.cpp
@@ -585,6 +585,18 @@
   EXPECT_FALSE(played.heard.empty());
 }
 
+// A service whose changes are always older than what it has just listed is not asked without a pause.
+TEST(Watch, AServiceThatCountsFromFurtherBackEachTimeIsNotAskedInALoop) {
+  const Played played = Play(
+      [](size_t, const std::string& path, Micros) {
+        const bool watch = path.find("wait=") != std::string::npos;
+        return Service::Say{Ok(watch ? R"({"version":2,"full":false,"servers":[]})"
+                                     : R"({"version":9,"full":true,"servers":[]})")};
+      },
+      3 * kSecond, false, 9);
+  EXPECT_LE(played.calls.size(), 2u * 3000 / 150 + 4);
+}
+
 // An answer that was written while the process stood still, past the end of its patience, is heard: it counts
 // as told.
 TEST(Watch, AnAnswerThatCameWhileTheProcessStoodStillIsHeardThoughItsTimeIsOver) {
