--- a/tests/membership/watch_test.cpp
+++ b/tests/membership/watch_test.cpp
@@ -340,6 +340,7 @@
   config.discovery = old_place;
   config.settings.must_subscribe = !pushed;
   config.settings.must_ask_within = must_ask;
+  config.settings.drain_grace = 750 * kMs;
   Service one(world, old_place, before), other(world, new_place, after);
   Counters counters;
   Reloaded played;
@@ -382,6 +383,45 @@
   return kNever;
 }
 
+// Whatever the old place did before, and whatever time the settings give for asking.
+TEST(Reload, TheNewPlacesListIsHeardWithinFourSecondsThoughItIsSilentAtFirst) {
+  for (Micros must_ask : {kSecond, 10 * kSecond, 60 * kSecond}) {
+    for (Micros at : {kSecond, 4 * kSecond, 30 * kSecond}) {
+      const Reloaded played = PlayReloads(
+          Silent(),
+          [](size_t call, const std::string& path, Micros now) {
+            return call == 0 ? Service::Say{} : NewPlace(path, now);
+          },
+          {{at}}, at + 8 * kSecond, must_ask);
+      EXPECT_LE(HeardFrom(played, 7, at), at + 4 * kSecond) << must_ask << " " << at;
+      ASSERT_FALSE(played.after.empty());
+      EXPECT_EQ(played.after[0].path, "/discovery/hosts");
+      EXPECT_LE(played.after[0].at, at + 10 * kMs);  // at once
+    }
+  }
+}
+
+TEST(Reload, TheNewPlacesListIsHeardWithinFourSecondsThoughItRefusesAtFirst) {
+  for (bool pushed : {false, true}) {
+    for (Micros must_ask : {kSecond, 10 * kSecond, 60 * kSecond}) {
+      for (const char* how : {"reset", "503", "hour", "500"}) {
+        const Reloaded played = PlayReloads(
+            Silent(),
+            [&](size_t, const std::string& path, Micros now) {
+              if (now >= 4500 * kMs) return NewPlace(path, now);
+              if (how == std::string("reset")) return Service::Say{.reset = true};
+              if (how == std::string("500"))
+                return Service::Say{std::string("HTTP/1.1 500 Ill\r\nContent-Length: 0\r\n\r\n")};
+              return Service::Say{std::string(how == std::string("503") ? kBusy : kBusyForAnHour)};
+            },
+            {{2 * kSecond}}, 9 * kSecond, must_ask, pushed);
+        EXPECT_LE(HeardFrom(played, 7, 0), 6 * kSecond) << must_ask << " " << how << " " << pushed;
+        EXPECT_LE(played.after.size(), 40u);
+      }
+    }
+  }
+}
+
 TEST(Reload, ToTheSamePlaceAsksForItsWholeListAtOnce) {
   const Reloaded played =
       PlayReloads([](size_t, const std::string& path, Micros now) { return NewPlace(path, now); }, Silent(),
@@ -434,6 +474,35 @@
   EXPECT_GT(one, 0u);
 }
 
+// Before the source is started somebody else may yet hand over the list: whoever starts it says what it has.
+TEST(Reload, BeforeTheStartNothingIsAskedYet) {
+  world::World world(kBegin, 7);
+  world::VirtualMachine machine(world);
+  Config config;
+  config.discovery = *ReadAddress("127.0.0.9:8500");
+  Service service(world, config.discovery,
+                  [](size_t, const std::string& path, Micros now) { return NewPlace(path, now); });
+  Counters counters;
+  int heard = 0;
+  Discovery discovery(machine, config, counters, [&](const HostList*, const std::string&) { ++heard; });
+  discovery.Again();
+  const auto story = [&]() -> Task<> {
+    Event pause(world.scheduler);
+    co_await pause.Wait(kBegin + kSecond);
+    EXPECT_EQ(heard, 0);
+    EXPECT_TRUE(service.calls.empty());
+    discovery.Start(1);
+    discovery.Follow();
+    co_await pause.Wait(kBegin + 2 * kSecond);
+    world.scheduler.Halt();
+  };
+  Task<> playing = story();
+  playing.Start();
+  world.scheduler.Run();
+  ASSERT_FALSE(service.calls.empty());
+  EXPECT_TRUE(service.calls[0].path.starts_with("/discovery/hosts?index=1&"));
+}
+
 // ---- Forms of an answer ----------------------------------------------------------------------------------
 
 // In order, with an answer and without one, instead of telling: there may be news.
@@ -516,6 +585,18 @@
   EXPECT_FALSE(played.heard.empty());
 }
 
+// A service whose changes are always older than what it has just listed is not asked without a pause.
+TEST(Watch, AServiceThatCountsFromFurtherBackEachTimeIsNotAskedInALoop) {
+  const Played played = Play(
+      [](size_t, const std::string& path, Micros) {
+        const bool watch = path.find("wait=") != std::string::npos;
+        return Service::Say{Ok(watch ? R"({"version":2,"full":false,"servers":[]})"
+                                     : R"({"version":9,"full":true,"servers":[]})")};
+      },
+      3 * kSecond, false, 9);
+  EXPECT_LE(played.calls.size(), 2u * 3000 / 150 + 4);
+}
+
 // An answer that was written while the process stood still, past the end of its patience, is heard: it counts
 // as told.
 TEST(Watch, AnAnswerThatCameWhileTheProcessStoodStillIsHeardThoughItsTimeIsOver) {
