End: the process waits for links that linger after their last answer

A client that is answered while the process closes has its link shut for writing and read on for up to 1 s, so that what crosses the answer resets nothing. Closing() took 0.3 s from its beginning for all links that owe nothing (serve/program.cpp:781): where the last answer came later than that the process ended in the same turn, over bytes that were on their way. Ruled out: the link's own lingering (front/client_link.cpp:505), which does what it should while the process lives. The time now runs from the last answer, 1.2 s, and ends in any case 0.1 s before the platform may kill. Ends.NoLinkIsCut... on a virtual clock: a query written 50 ms after the last answer found a reset before, now the end in order; the process is over 0.1 s after its client closes.

--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -18,7 +18,7 @@
 constexpr Micros kMostWaitedFor = 3 * kSecond;
 constexpr Micros kKilledAfter = 700 * kMs;
 constexpr Micros kBeforeKill = 100 * kMs;  // the answers are still to be written, and read
-constexpr Micros kCloseFor = 300 * kMs;    // for links that owe nothing
+constexpr Micros kCloseFor = 1200 * kMs;   // for links that owe nothing: one lingers for 1 s
 constexpr Micros kCloseStep = 20 * kMs;
 constexpr Micros kFinishFor = 300 * kMs;      // for the last lines, where what takes them is slow
 constexpr Micros kCountsFor = 600 * kSecond;  // members that were lost from sight
@@ -128,7 +128,10 @@
         machine, properties.capture, config_, hosts_, [this] { return dispatcher_.Save(); }, log, counters_);
   }
   dispatcher_.Observe(figures_.get(), capture_.get());
-  front_.OnNothingOwed([this] { moved_.Notify(); });
+  front_.OnNothingOwed([this] {
+    nothing_owed_at_ = machine_.Now();
+    moved_.Notify();
+  });
 }
 
 // As a member of the cluster and the council. Of the two processes of an upgrade it is the one that has the
@@ -782,8 +785,13 @@
 Task<> Program::Closing() {
   log_.Tell<"closing">(front_.open());
   front_.Close();
-  const Micros hurry_at = machine_.Now() + kCloseFor;
-  while (!front_.Closed(machine_.Now() >= hurry_at)) co_await moved_.Wait(machine_.Now() + kCloseStep);
+  // Links that linger are waited for, from the last answer on. Guards that answer: an end of the process over
+  // bytes that were not read would reset its link.
+  nothing_owed_at_ = machine_.Now();
+  const Micros latest = told_to_end_at_ ? *told_to_end_at_ + AnswersWithin(config_.settings) : kNever;
+  while (!front_.Closed(machine_.Now() >= std::min(nothing_owed_at_ + kCloseFor, latest))) {
+    co_await moved_.Wait(machine_.Now() + kCloseStep);
+  }
 }
 
 Task<> Program::Sweep() {
--- a/src/serve/program.h
+++ b/src/serve/program.h
@@ -161,6 +161,7 @@
   Phase before_hand_on_ = Phase::kServing;
   std::optional<Micros> told_to_end_at_;  // by whoever runs it, in any phase
   bool list_moved_ = false;               // before it served: where discovery is was read anew
+  Micros nothing_owed_at_ = 0;            // while it closes
   Micros aside_since_ = 0;
   Use other_;  // of a hand-over
   bool descriptors_tight_ = false;
--- a/tests/histories/ends_test.cpp
+++ b/tests/histories/ends_test.cpp
@@ -44,6 +44,9 @@
 std::string Query(const std::string& trace) {
   return "GET /look?user=1 HTTP/1.1\r\nX-Trace-Id: " + trace + "\r\n\r\n";
 }
+std::string Ok(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
 
 // The process, from its start to its end, and what stands round it.
 class Stage {
@@ -236,4 +239,37 @@
   }
 }
 
+// The link lingers after its last answer, so that what crosses it is read and resets nothing. The process
+// waits for that too.
+TEST(Ends, NoLinkIsCutWhileItsClientHasStillToHearItsLastAnswer) {
+  Stage stage(ConfigText(2 * kSecond, NodeEntry(), "1024"));
+  SilentNode node(stage);
+  const auto story = [&]() -> Task<> {
+    co_await stage.Until(10 * kMs);
+    std::unique_ptr<Stream> client = stage.Connect();
+    co_await Write(*client, Query("t1"));
+    co_await stage.Until(200 * kMs);
+    stage.Terminate();
+    co_await stage.Until(1400 * kMs);  // it closes by now, and owes this answer alone
+    EXPECT_EQ(node.links.size(), 1u);
+    if (node.links.size() == 1) co_await Write(*node.links[0], Ok("owed"));
+    const std::string answer = co_await ReadMessage(*client);
+    EXPECT_NE(answer.find("Connection: close\r\n"), std::string::npos);
+    EXPECT_TRUE(answer.ends_with("owed"));
+    co_await stage.Until(1450 * kMs);
+    if (stage.ended()) stage.Bury();
+    co_await Write(*client, Query("t2"));  // crosses the answer
+    co_await stage.Until(1500 * kMs);
+    if (stage.ended()) stage.Bury();
+    std::string rest;
+    EXPECT_EQ(client->Read(rest), Io::kClosed);  // an end, and no reset
+    client.reset();
+    co_await stage.Until(1600 * kMs);
+    EXPECT_TRUE(stage.ended());  // and nobody is waited for longer than that
+    stage.Over();
+  };
+  stage.Play(story());
+  EXPECT_EQ(stage.counters().taken, 1u) << stage.said() << stage.counters().Text();
+}
+
 }  // namespace burlfall
