Hand-over: a process told to end ends, also where its heir takes no links

A process that has handed over waits until its links are the heir's (serve/program.cpp:762). Where the heir stands still the system's line between the two is full, quiet links stay, and their clients go on sending: after SIGTERM that lasted until the kill, and what was in hand then was lost. Ruled out: links that never asked, which end after 2 s. Once told to end it waits for such an heir no longer than a drain lasts, then closes; links still go over where there is room. Test: 500 links that have asked, a scripted heir that reads nothing.

--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -610,7 +610,9 @@
   upstream_.RetireAll();
   TellUse();
   front_.PassOn([this](Stream& stream, const QuietLink& link) {
-    return handover_->Pass(stream, {link.asked, link.began, link.read});
+    const Io passed = handover_->Pass(stream, {link.asked, link.began, link.read});
+    heir_takes_ = passed != Io::kLater;
+    return passed;
   });
   moved_.Notify();
 }
@@ -765,11 +767,14 @@
   if (phase_ == Phase::kDraining) phase_ = Phase::kClosing;
 }
 
-// Until all client links are the other's, or have ended.
+// Until all client links are the other's, or have ended. One that was told to end waits no longer than a
+// drain lasts for an heir that takes none. Guards the clients of those links, who go on sending until the
+// kill.
 Task<> Program::HandedOver() {
   Micros tell_at = 0;
   while (phase_ == Phase::kHandedOver) {
-    if (front_.open() == 0) {
+    const bool waited = told_to_end_at_ && machine_.Now() >= *told_to_end_at_ + DrainFor(config_.settings);
+    if (front_.open() == 0 || (waited && !heir_takes_)) {
       phase_ = Phase::kClosing;
       break;
     }
--- a/src/serve/program.h
+++ b/src/serve/program.h
@@ -160,6 +160,7 @@
   Phase phase_ = Phase::kStarting;
   Phase before_hand_on_ = Phase::kServing;
   std::optional<Micros> told_to_end_at_;  // by whoever runs it, in any phase
+  bool heir_takes_ = true;                // links, as far as was seen last
   bool list_moved_ = false;               // before it served: where discovery is was read anew
   Micros nothing_owed_at_ = 0;            // while it closes
   Micros aside_since_ = 0;
--- a/tests/service/upgrade_test.cpp
+++ b/tests/service/upgrade_test.cpp
@@ -587,4 +587,23 @@
   CHECK(heir.Wait(SIGTERM) == 0);
 }
 
+TEST_CASE("a process that is told to end ends, also where its heir takes none of its links") {
+  Platform platform;
+  Peer server;
+  const Setup setup = {.known = Entry("s-1", server.port), .sockets = 8192, .admin = "127.0.0.1:0"};
+  Program old(ConfigText(setup), {"serve"}, nullptr, platform.world());
+  std::vector<Link> links;  // more than the system holds on their way
+  for (int i = 0; i < 500; ++i) {
+    links.push_back(Link::To(platform.door.port));
+    links.back().Write("GET /up HTTP/1.1\r\n\r\n");
+    REQUIRE(links.back().Read().find("Connection: close") == std::string::npos);
+  }
+  const Descriptor heir = Claimed(platform);
+  Say(heir, "S");
+  CHECK(Says(old, "handed over"));
+  old.Signal(SIGTERM);
+  REQUIRE(old.EndsUnread());
+  CHECK(old.Wait() == 0);
+}
+
 }  // namespace burlfall
