Hand-over: a drain by hand holds where the old process takes the door back

Who drained the balancer while it was handed over told the new process, at either address; where that died the old one took the door back as it was when it handed on (serve/program.cpp:619) and served, /up saying yes. Back to work was lost likewise, and the balancer stayed out. Ruled out: the messages, which the old one read and dropped as no phase of its own; the new one told it nothing (serve/program.cpp:494). A process that has handed over now keeps the word for the door's return, and each tells the other. Tests with a scripted heir and a scripted old process: as found /up was 200 after both drains, and the old process heard nothing; now 503, 200 after the end of the drain, A and W heard.

--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -490,13 +490,13 @@
 Verdict Program::StandAside() {
   if (phase_ == Phase::kStarting) return Verdict::kNotNow;
   SetAside(true);
-  if (phase_ == Phase::kHandedOver) handover_->TellDrain(true);
+  if (handover_ && (Serving() || phase_ == Phase::kHandedOver)) handover_->TellDrain(true);
   return Verdict::kDone;  // one that ends drains too
 }
 
 Verdict Program::ComeBack() {
   SetAside(false);
-  if (phase_ == Phase::kHandedOver) handover_->TellDrain(false);
+  if (handover_ && (Serving() || phase_ == Phase::kHandedOver)) handover_->TellDrain(false);
   return phase_ == Phase::kServing || phase_ == Phase::kHandedOver ? Verdict::kDone : Verdict::kNotNow;
 }
 
@@ -555,14 +555,16 @@
 }
 
 void Program::SetAside(bool aside) {
-  if (phase_ != (aside ? Phase::kServing : Phase::kAside)) return;
-  phase_ = aside ? Phase::kAside : Phase::kServing;
+  Phase& phase = phase_ == Phase::kHandedOver ? before_hand_on_ : phase_;
+  if (phase != (aside ? Phase::kServing : Phase::kAside)) return;
+  phase = aside ? Phase::kAside : Phase::kServing;
   if (aside) {
     aside_since_ = machine_.Now();
     log_.Tell<"drained">(front_.open());
     front_.StandAside();
   } else {
     log_.Tell<"back_to_work">((machine_.Now() - aside_since_) / kMs);
+// One that has handed over keeps it for the case that it takes the door back.
     front_.ComeBack();
   }
   moved_.Notify();
--- a/tests/service/upgrade_test.cpp
+++ b/tests/service/upgrade_test.cpp
@@ -480,6 +480,7 @@
     REQUIRE(sendmsg(heir_.get(), &header, MSG_NOSIGNAL) > 0);
   }
   void End() { heir_ = Descriptor(); }
+  std::string HearHeir() const { return Hear(heir_); }
 
  private:
   void Run(const std::function<void(pid_t)>& between) {
@@ -587,6 +588,51 @@
   CHECK(heir.Wait(SIGTERM) == 0);
 }
 
+TEST_CASE("a drain by hand during a hand-over holds where the door is taken back, and its end does too") {
+  Platform platform;
+  Peer server;
+  Program old(SiteText(Entry("s-1", server.port)), {"serve"}, nullptr, platform.world());
+  const auto taken_back_after = [&](const std::function<void(const Descriptor&)>& during) {
+    Link busy = Link::To(platform.door.port);  // keeps the old one there
+    busy.Write(Get("t"));
+    Link at_work = server.Accept();
+    at_work.Read();
+    old.output.clear();
+    {
+      const Descriptor heir = Claimed(platform);
+      Say(heir, "S");
+      CHECK(Says(old, "handed over"));
+      during(heir);
+    }
+    CHECK(Says(old, "this one serves again"));
+    at_work.Write(Ok("owed", "Connection: close\r\n"));
+    CHECK(busy.Read().ends_with("owed"));
+    return Up(platform.door.port);
+  };
+  // Told at its own second address, then by the heir, whom operators told.
+  CHECK(taken_back_after([&](const Descriptor&) { CHECK(Tell(old.admin, "/healthcheck/fail") == 200); }) ==
+        503);
+  CHECK(taken_back_after([&](const Descriptor&) { CHECK(Tell(old.admin, "/healthcheck/ok") == 200); }) ==
+        200);
+  CHECK(taken_back_after([&](const Descriptor& heir) { Say(heir, "A"), TwoTurns(old); }) == 503);
+  CHECK(taken_back_after([&](const Descriptor& heir) { Say(heir, "W"), TwoTurns(old); }) == 200);
+  CHECK(old.Wait(SIGTERM) == 0);
+}
+
+TEST_CASE("an heir that is drained by hand tells the process before it") {
+  Platform platform;
+  Peer server;
+  ScriptedOld old(platform, server);
+  Program heir(SiteText(Entry("s-1", server.port)), {"serve"}, nullptr, platform.world());
+  old.Join();
+  REQUIRE(old.took_door());
+  REQUIRE(Tell(heir.admin, "/healthcheck/fail") == 200);
+  CHECK(old.HearHeir() == "A");
+  REQUIRE(Tell(heir.admin, "/healthcheck/ok") == 200);
+  CHECK(old.HearHeir() == "W");
+  CHECK(heir.Wait(SIGTERM) == 0);
+}
+
 TEST_CASE("a process that is told to end ends, also where its heir takes none of its links") {
   Platform platform;
   Peer server;
