--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -18,7 +18,7 @@
 constexpr Micros kMostWaitedFor = 3 * kSecond;
 constexpr Micros kKilledAfter = 700 * kMs;
 constexpr Micros kBeforeKill = 100 * kMs;  // the answers are still to be written, and read
-constexpr Micros kCloseFor = 300 * kMs;    // for links that owe nothing
+constexpr Micros kCloseFor = 1200 * kMs;   // for links that owe nothing: one lingers for 1 s
 constexpr Micros kCloseStep = 20 * kMs;
 constexpr Micros kFinishFor = 300 * kMs;      // for the last lines, where what takes them is slow
 constexpr Micros kCountsFor = 600 * kSecond;  // members that were lost from sight
@@ -128,7 +128,10 @@
         machine, properties.capture, config_, hosts_, [this] { return dispatcher_.Save(); }, log, counters_);
   }
   dispatcher_.Observe(figures_.get(), capture_.get());
-  front_.OnNothingOwed([this] { moved_.Notify(); });
+  front_.OnNothingOwed([this] {
+    nothing_owed_at_ = machine_.Now();
+    moved_.Notify();
+  });
 }
 
 // As a member of the cluster and the council. Of the two processes of an upgrade it is the one that has the
@@ -487,13 +490,13 @@
 Verdict Program::StandAside() {
   if (phase_ == Phase::kStarting) return Verdict::kNotNow;
   SetAside(true);
-  if (phase_ == Phase::kHandedOver) handover_->TellDrain(true);
+  if (handover_ && (Serving() || phase_ == Phase::kHandedOver)) handover_->TellDrain(true);
   return Verdict::kDone;  // one that ends drains too
 }
 
 Verdict Program::ComeBack() {
   SetAside(false);
-  if (phase_ == Phase::kHandedOver) handover_->TellDrain(false);
+  if (handover_ && (Serving() || phase_ == Phase::kHandedOver)) handover_->TellDrain(false);
   return phase_ == Phase::kServing || phase_ == Phase::kHandedOver ? Verdict::kDone : Verdict::kNotNow;
 }
 
@@ -552,14 +555,16 @@
 }
 
 void Program::SetAside(bool aside) {
-  if (phase_ != (aside ? Phase::kServing : Phase::kAside)) return;
-  phase_ = aside ? Phase::kAside : Phase::kServing;
+  Phase& phase = phase_ == Phase::kHandedOver ? before_hand_on_ : phase_;
+  if (phase != (aside ? Phase::kServing : Phase::kAside)) return;
+  phase = aside ? Phase::kAside : Phase::kServing;
   if (aside) {
     aside_since_ = machine_.Now();
     log_.Tell<"drained">(front_.open());
     front_.StandAside();
   } else {
     log_.Tell<"back_to_work">((machine_.Now() - aside_since_) / kMs);
+// One that has handed over keeps it for the case that it takes the door back.
     front_.ComeBack();
   }
   moved_.Notify();
@@ -607,7 +612,9 @@
   upstream_.RetireAll();
   TellUse();
   front_.PassOn([this](Stream& stream, const QuietLink& link) {
-    return handover_->Pass(stream, {link.asked, link.began, link.read});
+    const Io passed = handover_->Pass(stream, {link.asked, link.began, link.read});
+    heir_takes_ = passed != Io::kLater;
+    return passed;
   });
   moved_.Notify();
 }
@@ -762,11 +769,14 @@
   if (phase_ == Phase::kDraining) phase_ = Phase::kClosing;
 }
 
-// Until all client links are the other's, or have ended.
+// Until all client links are the other's, or have ended. One that was told to end waits no longer than a
+// drain lasts for an heir that takes none. Guards the clients of those links, who go on sending until the
+// kill.
 Task<> Program::HandedOver() {
   Micros tell_at = 0;
   while (phase_ == Phase::kHandedOver) {
-    if (front_.open() == 0) {
+    const bool waited = told_to_end_at_ && machine_.Now() >= *told_to_end_at_ + DrainFor(config_.settings);
+    if (front_.open() == 0 || (waited && !heir_takes_)) {
       phase_ = Phase::kClosing;
       break;
     }
@@ -782,8 +792,13 @@
 Task<> Program::Closing() {
   log_.Tell<"closing">(front_.open());
   front_.Close();
-  const Micros hurry_at = machine_.Now() + kCloseFor;
-  while (!front_.Closed(machine_.Now() >= hurry_at)) co_await moved_.Wait(machine_.Now() + kCloseStep);
+  // Links that linger are waited for, from the last answer on. Guards that answer: an end of the process over
+  // bytes that were not read would reset its link.
+  nothing_owed_at_ = machine_.Now();
+  const Micros latest = told_to_end_at_ ? *told_to_end_at_ + AnswersWithin(config_.settings) : kNever;
+  while (!front_.Closed(machine_.Now() >= std::min(nothing_owed_at_ + kCloseFor, latest))) {
+    co_await moved_.Wait(machine_.Now() + kCloseStep);
+  }
 }
 
 Task<> Program::Sweep() {
