Front: a client whose end comes with its request, or behind what is read ahead, has left

Seen, with the process stopped while both came: nine clients on resting links that wrote a request and closed, shut their sending side or reset in the same batch had 11 attempts sent for them (with the pipelined ones) and were held until their time was over; three that ended behind 100 KiB of pipelined requests, and one behind a large body that no node took, were not seen within 15 s either. Ruled out: the node's side, and the dispatcher, which cancels at once where it is told. At fault: ClientLink::Handle waited before it ever read on. epoll is edge-triggered, and ReadQuery stops at the whole request without reading to kLater, so the one edge was spent; Listen() and ReadBody() stopped reading once their bound was full, and nothing else told of the end. Mended: the link looks before the module hears of the request, and behind a large body before it waits. Where it reads no further, Stream::Ended() says that word of the end has come, from the events that were watched for already (EPOLLRDHUP, EPOLLHUP, EPOLLERR); the virtual machines say the same.

--- a/src/front/client_link.cpp
+++ b/src/front/client_link.cpp
@@ -235,6 +235,14 @@
     query.labels.trace = payload->Find(platform::kTraceId);
     query.labels.tenant = payload->Find(platform::kTenant);
     if (request_class < 0) query.labels.odd_class = FirstPart(payload->target);
+    // Guards against an attempt for a client that is gone: where its end came in one batch with the request,
+    // or behind pipelined ones, no further notice tells of it.
+    if (upload_ ? stream_->Ended() : !Listen()) {
+      ++front_.parts_.counters.taken;
+      ++front_.parts_.counters.left;
+      if (Figures* figures = front_.parts_.figures) figures->Add(query.labels.series, Figure::kLeft);
+      co_return false;
+    }
     payload->more = upload_;
     query.payload = std::move(payload);
     const meadowslip::RequestId id = front_.parts_.dispatcher.Take(std::move(query));
@@ -242,8 +250,8 @@
       bool owed = co_await Await(id);
       if (!owed) co_return false;
     }
-    while (!answered_) {
-      co_await stream_->Wait();
+    for (bool heard = !upload_; !answered_; heard = true) {  // what is behind a large body was not read yet
+      if (heard) co_await stream_->Wait();
       if (!answered_ && !Listen()) {
         front_.parts_.dispatcher.Left(id);
         co_return false;
@@ -323,7 +331,7 @@
     fresh = true;
     progress_at_ = stream_->scheduler().Now();
   }
-  return 0;
+  return stream_->Ended() ? -1 : 0;  // behind what there is no room for
 }
 
 // The rest of a large answer, as it comes. False where it can't be whole: the link then closes short of it.
@@ -436,7 +444,7 @@
     if (io == Io::kLater) return true;
     if (io != Io::kSome) return false;
   }
-  return true;
+  return !stream_->Ended();
 }
 
 void ClientLink::Serve(const Payload& payload) {
--- a/src/io/network.h
+++ b/src/io/network.h
@@ -37,9 +37,11 @@
   virtual Io Read(std::string& into) = 0;         // appends what has come, up to a bounded piece
   virtual Io Write(std::string_view& bytes) = 0;  // takes off the front what was accepted
   virtual bool Quiet() = 0;                       // open, and nothing has come unasked
-  virtual void Finish() = 0;                      // ends our sending; the other side's goes on
-  virtual void Reset() = 0;                       // ends it at once, and the other side hears a reset
-  virtual void Close() = 0;                       // ends it in order; the destructor does the same
+  // Word has come that the other side has ended its sending, or is gone: also behind bytes that are not read.
+  virtual bool Ended() = 0;
+  virtual void Finish() = 0;  // ends our sending; the other side's goes on
+  virtual void Reset() = 0;   // ends it at once, and the other side hears a reset
+  virtual void Close() = 0;   // ends it in order; the destructor does the same
   virtual Address Peer() const = 0;
   virtual Address Local() const = 0;
 };
--- a/src/io/real_machine.cpp
+++ b/src/io/real_machine.cpp
@@ -86,7 +86,11 @@
   // No coroutine runs in this loop, so no signal named by a later event can go away meanwhile. All that has
   // come is heard of before any of it is acted on, or what goes first would stand behind a crowd.
   for (int rounds = 0; n > 0; ++rounds) {
-    for (int i = 0; i < n; ++i) static_cast<Signal*>(events[static_cast<size_t>(i)].data.ptr)->Notify();
+    for (int i = 0; i < n; ++i) {
+      const epoll_event& event = events[static_cast<size_t>(i)];
+      Signal& signal = *static_cast<Signal*>(event.data.ptr);
+      event.events&(EPOLLRDHUP | EPOLLHUP | EPOLLERR) ? signal.NotifyEnd() : signal.Notify();
+    }
     if (n < most || rounds >= kMostRounds) break;
     n = epoll_wait(epoll_.get(), events.data(), most, 0);
   }
--- a/src/io/real_network.cpp
+++ b/src/io/real_network.cpp
@@ -70,6 +70,8 @@
     return n < 0 && Later();
   }
 
+  bool Ended() override { return heard_end(); }
+
   void Finish() override { shutdown(fd_.get(), SHUT_WR); }
 
   void Reset() override {
--- a/src/io/scheduler.cpp
+++ b/src/io/scheduler.cpp
@@ -64,4 +64,9 @@
   }
 }
 
+void Signal::NotifyEnd() {
+  heard_end_ = true;
+  Notify();
+}
+
 }  // namespace burlfall
--- a/src/io/scheduler.h
+++ b/src/io/scheduler.h
@@ -78,6 +78,9 @@
   explicit Signal(Scheduler& scheduler) : scheduler_(scheduler) {}
   Signal(const Signal&) = delete;
   void Notify();
+  // As Notify(), where word came that the other side has ended its sending, or is gone.
+  void NotifyEnd();
+  bool heard_end() const { return heard_end_; }
   // Whoever waits on it goes before all others that are woken with it.
   void GoFirst() { first_ = true; }
   // True when notified, false when `until` came first.
@@ -93,6 +96,7 @@
   Scheduler& scheduler_;
   Waiter* waiter_ = nullptr;
   bool notified_ = false;
+  bool heard_end_ = false;
   bool first_ = false;
 };
 
--- a/src/world/virtual_machine.cpp
+++ b/src/world/virtual_machine.cpp
@@ -111,6 +111,7 @@
     return !own().closed && !own().reset && own().come.empty() && !other().finished &&
            of_->state == State::kUp;
   }
+  bool Ended() override { return own().reset || other().finished; }
   void Finish() override {
     own().finished = true;
     of_->Tell(1 - side_);
