Front: every link on which an answer went out is shut, read empty and then closed, within bounds

Seen: a request, or half of one, that came on a resting link in the moment of its close was answered by a reset (2 of 2), and so were bytes that were not read yet behind the last answer as the process ended (1 of 1): a reset takes along what the client has not read. A client that poured on behind its 413 was read without a bound in bytes (268 MB, where the test stopped pouring). Ruled out: requests sent on after the shutdown; none was, what comes then is dropped. At fault: ClientLink::Run lingered after a last answer alone and closed resting links, and those given up on, at once; Linger had a bound in time only; HttpFront::Closed() ended the process 0.3 s after it began to close, over whatever links still lingered. Mended: Run lingers wherever an answer may be unread, for 0.1 s where descriptors run short and for a large body's bytes at most. The front counts the links that end before it sheds as many more, and at the end of the process each link has 0.1 s from its shutdown; where all have ended their side it waits no longer.

--- a/src/front/client_link.cpp
+++ b/src/front/client_link.cpp
@@ -22,6 +22,10 @@
 constexpr Micros kWritePatience = 10 * kSecond;
 constexpr Micros kLinger = 1 * kSecond;
 constexpr Micros kLingerUnread = 5 * kSecond;  // where a large query was answered before it had come
+// Where descriptors run short: others wait for this one, and whoever hears of our end closes within a round
+// trip.
+constexpr Micros kLingerTight = 100 * kMs;
+constexpr size_t kMostDropped = kMostStreamed;  // of what comes behind the last answer: a large query's body
 constexpr Micros kMostPatience = 3600 * kSecond;
 
 // A whole number of microseconds within reason; anything else says nothing.
@@ -110,9 +114,9 @@
     if (!stays) break;
   }
   leaving_ = true;
-  if (told_ && !cut_) co_await Linger();
-  // Here and now, not when the front buries this link: an idle link was read empty a moment ago, and a query
-  // that comes between that and the close is lost. Guards against the turn that once lay between the two.
+  if ((told_ || asked) && !passed_) co_await Linger();
+  // Here and now, not when the front buries this link: it was read empty a moment ago, and a query that comes
+  // between that and the close is lost. Guards against the turn that once lay between the two.
   if (!passed_) stream_->Close();
   front_.Retire(*this);
 }
@@ -513,17 +517,23 @@
   co_return true;
 }
 
-// Waits for the client's end after ours. Guards the last answer: closing over bytes that were not read would
-// reset the link, and the client could lose what it had not read yet.
+// Waits for the client's end after ours. Guards the answers that it has not read yet: closing over bytes that
+// were not read, or into which some come, would reset the link. A query among them is dropped, never sent on:
+// its client sends it again.
 Task<> ClientLink::Linger() {
-  const Micros until = stream_->scheduler().Now() + (upload_ ? kLingerUnread : kLinger);
+  const bool last = told_ && !cut_;
+  const Micros span = upload_ ? kLingerUnread : last || !front_.tight() ? kLinger : kLingerTight;
+  const Micros until = stream_->scheduler().Now() + span;
+  size_t dropped = 0;
   stream_->Finish();
+  front_.Finished();
   while (true) {
     in_.clear();
     Io io = stream_->Read(in_);
     if (io != Io::kSome && io != Io::kLater) co_return;
+    dropped += in_.size();
     const Micros now = stream_->scheduler().Now();
-    if (now >= until) co_return;
+    if (now >= until || dropped > kMostDropped) co_return;
     // A piece a turn. Guards the others, and the end of this one, against a client that pours on.
     co_await stream_->Wait(io == Io::kSome ? now : until);
   }
--- a/src/front/client_link.h
+++ b/src/front/client_link.h
@@ -46,6 +46,8 @@
   // Of such a query nothing has come since then.
   bool StalledSince(Micros then) const { return UnfinishedSince(then) && progress_at_ <= then; }
   LinkStanding Standing(Micros now) const;
+  bool Ended() const { return leaving_; }  // our side of it
+  bool Ending() const { return leaving_ || (!busy_ && (leave_ || cut_)); }
   void Stir() { stream_->Notify(); }  // looks anew at what it is to do
   void Leave();                       // closes as soon as it is idle
   void Cut();                         // gives up on a query that is not whole
--- a/src/front/http_front.cpp
+++ b/src/front/http_front.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Micros kIdleForClosing = 200 * kMs;
+constexpr Micros kFinishedFor = 100 * kMs;  // a round trip, at the end of the process
 constexpr Micros kSweepEvery = 500 * kMs;
 constexpr Micros kAcceptPause = 10 * kMs;
 constexpr Micros kIdleForShedding = 1 * kSecond;
@@ -114,7 +115,12 @@
   // One accepted a moment ago may have its first query on the way: it would be lost.
   ShedUnasked(kIdleForClosing, kIdleForClosing, unasked_.size());
   ShedIdle(kIdleForClosing);
-  return owed_ == 0 && (open() == 0 || hurry);
+  // Guards the last answers: what came behind them is read and dropped first, or the end of the process would
+  // reset their links.
+  const bool told = parts_.machine.Now() >= finished_at_ + kFinishedFor;
+  const auto ended = [](const auto& link) { return link->Ended(); };
+  const bool all = std::ranges::all_of(unasked_, ended) && std::ranges::all_of(clients_, ended);
+  return owed_ == 0 && (open() == 0 || (told && (hurry || all)));
 }
 
 // ---- Client links ----------------------------------------------------------------------------------------
@@ -136,7 +142,10 @@
     const size_t most = parts_.budget.most();
     const bool over = parts_.config.in_service && open() >= most - most / kServersPart;
     if (over || parts_.budget.open() >= most + LinkBudget::kSpare / 2) {
-      over ? MakeRoom(kShedAtOnce) : parts_.budget.MakeRoom(kShedAtOnce);
+      // Beside those that end already. Guards the links that may stay: one that waits for its client's end is
+      // still counted, and each look for room would shed as many more.
+      const size_t wanted = kShedAtOnce - std::min(Ending(), kShedAtOnce);
+      if (wanted > 0) over ? MakeRoom(wanted) : parts_.budget.MakeRoom(wanted);
       return false;
     }
     std::unique_ptr<Stream> stream;
@@ -159,6 +168,13 @@
   }
 }
 
+// Links that end, and wait for their client's end at most.
+size_t HttpFront::Ending() const {
+  const auto ends = [](const auto& link) { return link->Ending(); };
+  return static_cast<size_t>(std::count_if(unasked_.begin(), unasked_.end(), ends) +
+                             std::count_if(clients_.begin(), clients_.end(), ends));
+}
+
 // Clients come back at little cost. What has come on a link by then is still read and answered.
 bool HttpFront::MakeRoom(size_t wanted) {
   if (!parts_.config.in_service) return MakeRoomByAge(wanted);
--- a/src/front/http_front.h
+++ b/src/front/http_front.h
@@ -87,6 +87,7 @@
   bool AcceptWaiting();
   Task<> Sweep();
   Task<> Bury();
+  size_t Ending() const;
   bool MakeRoomByAge(size_t wanted);
   void ShedUnasked(Micros idle_for, Micros unfinished_for, size_t most);
   void ShedIdle(Micros idle_for);
@@ -104,6 +105,7 @@
   Io Pass(Stream& stream, const QuietLink& as) { return pass_(stream, as); }
   void Busy(ClientLink& link);
   void Free(ClientLink& link);
+  void Finished() { finished_at_ = parts_.machine.Now(); }
   void Retire(ClientLink& link);
 
   Parts parts_;
@@ -112,7 +114,8 @@
   std::unique_ptr<Listener> listener_;
   bool shut_ = true;
   Passing pass_;
-  int owed_ = 0;  // links with a query at hand
+  int owed_ = 0;            // links with a query at hand
+  Micros finished_at_ = 0;  // when the sending side of one was last ended
   std::function<void()> nothing_owed_ = [] {};
   ByteBudget bytes_;  // that whole bodies may hold
   Event sweep_;
--- a/tests/races/client_links_test.cpp
+++ b/tests/races/client_links_test.cpp
@@ -45,6 +45,19 @@
   how == End::kReset ? link.Reset() : how == End::kClose ? link.Close() : void(shutdown(link.fd(), SHUT_WR));
 }
 
+// Whether the other side answered what came by a reset. On loopback that is here once the write returns.
+bool WasReset(const Link& link) {
+  int error = 0;
+  socklen_t length = sizeof error;
+  REQUIRE(getsockopt(link.fd(), SOL_SOCKET, SO_ERROR, &error, &length) == 0);
+  return error != 0;
+}
+
+bool OtherSideEnds(const Link& link) {
+  pollfd one{link.fd(), POLLRDHUP, 0};
+  return poll(&one, 1, kPatience * 1000) == 1 && (one.revents & POLLRDHUP) != 0;
+}
+
 }  // namespace
 
 TEST_CASE("a client whose request and end come in one batch has left, and nothing is sent") {
@@ -130,6 +143,55 @@
   CHECK(Count(program.port, "sent") == sent);
 }
 
+TEST_CASE("a request that crosses the end of a resting link finds no reset, and is never sent on") {
+  Peer server;
+  Program program(ConfigText({.known = Entry("s-1", server.port), .admin = "127.0.0.1:0"}));
+  for (const std::string& crossing : {Post("open", "t", "x"), std::string("POST /op")}) {
+    Link client = Link::To(program.port);
+    client.Write("GET /up HTTP/1.1\r\nHost: x\r\n\r\n");  // its answer is not read yet
+    REQUIRE(Readable(client.fd(), kPatience * 1000));
+    REQUIRE(Tell(program.admin, "/healthcheck/fail") == 200);
+    REQUIRE(OtherSideEnds(client));
+    client.Write(crossing);
+    CHECK_FALSE(WasReset(client));
+    CHECK(client.Read().starts_with("HTTP/1.1 200 "));
+    CHECK(client.Ended());
+    REQUIRE(Tell(program.admin, "/healthcheck/ok") == 200);
+  }
+  CHECK(Count(program.port, "taken") == 0);
+  CHECK_FALSE(server.Called());
+}
+
+TEST_CASE("the last answer before the process ends is no reset's over bytes that were not read") {
+  Peer server;
+  Program program(ConfigText({.known = Entry("s-1", server.port)}));
+  Link client = Link::To(program.port);
+  client.Write(Post("open", "t1", "x"));
+  Link link = server.Accept();
+  CHECK_FALSE(link.Read().empty());
+  client.Write(std::string(160 * 1024, 'x'));  // more than is read ahead
+  program.Signal(SIGTERM);
+  std::string line = program.Line();
+  while (line.find("closing") == std::string::npos && !line.empty()) line = program.Line();
+  poll(nullptr, 0, 400);  // until it hurries: only what is owed keeps it
+  link.Write(Ok("owed"));
+  CHECK(program.Wait() == 0);
+  CHECK(client.Read().ends_with("owed"));
+  CHECK_FALSE(WasReset(client));
+}
+
+TEST_CASE("a client that pours on behind its last answer is read for so many bytes and no more") {
+  Peer server;
+  Program program(ConfigText({.known = Entry("s-1", server.port)}));
+  Link client = Link::To(program.port);
+  client.Write("POST /open HTTP/1.1\r\nX-Trace-Id: t\r\nContent-Length: 100000000\r\n\r\n");
+  const std::string piece(65536, 'x');
+  size_t poured = 0;
+  for (ssize_t n = 1; n > 0 && poured<256 * piece.size() * 16; poured += n> 0 ? static_cast<size_t>(n) : 0)
+    n = send(client.fd(), piece.data(), piece.size(), MSG_NOSIGNAL);
+  CHECK(poured < 64 * 1024 * 1024);  // a large body, and the buffers of both machines
+}
+
 TEST_CASE("small writes are never held back on any connection, accepted, made, adopted or watched anew") {
   RealMachine machine;
   const auto sends_at_once = [](const Stream& stream) {
