Front: an answer without a length that breaks off ends by a reset for an old client

Seen: an HTTP/1.0 client whose node's chunked answer was reset in the middle got the first chunk and then an end in order, by which it must take the answer for whole (recv gave 0). Ruled out: chunked and counted answers, which end short of their length or last chunk. At fault: ClientLink::Handle closed the link as any other where WriteRest() said that the rest can't come. Mended: such a link, whose end is the answer's, is reset. After: ECONNRESET. Test in tests/races.

--- a/src/front/client_link.cpp
+++ b/src/front/client_link.cpp
@@ -263,7 +263,10 @@
     }
   }
   bool written = co_await WriteAnswer();
+  const bool to_end = more_ && !more_->length && old_client_;
   if (written && more_) written = co_await WriteRest();
+  // Guards an old client, to whom the end of the link says that the answer is whole.
+  if (!written && to_end) stream_->Reset();
   more_.reset();
   if (upload_) {
     upload_->Leave();
--- a/tests/races/client_links_test.cpp
+++ b/tests/races/client_links_test.cpp
@@ -192,6 +192,23 @@
   CHECK(poured < 64 * 1024 * 1024);  // a large body, and the buffers of both machines
 }
 
+TEST_CASE("an old client can tell that an answer without a length was broken off") {
+  Peer server;
+  Program program(ConfigText({.known = Entry("s-1", server.port), .admin = "127.0.0.1:0"}));
+  Link client = Link::To(program.port);
+  client.Write("GET /look HTTP/1.0\r\nX-Trace-Id: t\r\n\r\n");
+  Link link = server.Accept();
+  CHECK_FALSE(link.Read().empty());
+  link.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n");
+  CHECK(client.Read().starts_with("HTTP/1.1 200 "));
+  link.Reset();
+  ssize_t n = 1;
+  char c = 0;
+  while (n == 1) n = recv(client.fd(), &c, 1, 0);
+  CHECK(n < 0);
+  CHECK(errno == ECONNRESET);  // an end in order would say that it was whole
+}
+
 TEST_CASE("small writes are never held back on any connection, accepted, made, adopted or watched anew") {
   RealMachine machine;
   const auto sends_at_once = [](const Stream& stream) {
