Lists: paced starts ask in time after a failure too, once there is a list to send by

A first call that falls silent is waited for 5.5 s, and its successor comes a round later: no list within 9 s of the call. The lines at fault: discovery.cpp:82 (the pace's turn alone holds, whatever the clock says) and :103 (its patience). Ruled out: first calls, turns after a list and watches, which no failure comes before; who has no list keeps to its turns, as nothing can be sent (new test, at most 4 calls in 60 s). Now the clock's time after a failure and its patience hold where there is a list.

Failed before: Watch.WhereStartsArePacedTheSame..., Watch.WhereStartsArePacedASilentCall....

--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -71,11 +71,19 @@
   Start({});  // another service may count its versions otherwise
 }
 
+// Who has no list to send by can break no rule.
+bool Discovery::Bound() const { return pace_ == nullptr || pace_->phase() != start::StartPhase::kWithout; }
+
+// Where calls are paced: after one that failed no later than the clock says.
+Micros Discovery::TurnAt() const {
+  return Bound() ? std::min(pace_->next_at(), clock_.ask_at()) : pace_->next_at();
+}
+
 // Until somebody asks, or the clock does; and where calls are paced, until there is a turn.
 Task<> Discovery::AwaitTurn() {
   while (!following_ && scheduler_.Now() < clock_.ask_at()) co_await asked_.Wait(clock_.ask_at());
   following_ = true;
-  while (pace_ != nullptr && scheduler_.Now() < pace_->next_at()) co_await asked_.Wait(pace_->next_at());
+  while (pace_ != nullptr && scheduler_.Now() < TurnAt()) co_await asked_.Wait(TurnAt());
 }
 
 // A watch begins with the version that the group has: the service then tells what has changed since, and has
@@ -93,9 +101,9 @@
     if (pace_ != nullptr) pace_->Called(called_at, watch);
     clock_.Called(called_at, watch);
     ++counters_.list_calls;
-    const Micros patience = pace_ == nullptr ? clock_.patience(watch, opens)
-                            : watch          ? wait + kPacedLate
-                                             : pace_->patience();
+    const Micros patience = pace_ != nullptr && watch ? wait + kPacedLate
+                            : Bound()                 ? clock_.patience(watch, opens)
+                                                      : pace_->patience();
     Answer answer = co_await Ask(std::move(path), patience);
     if (!answer.list) {
       opens = true;
--- a/src/membership/discovery.h
+++ b/src/membership/discovery.h
@@ -36,6 +36,8 @@
     bool waited = false;     // in line, as far as the time that it took tells
   };
   Task<> Watch();
+  bool Bound() const;
+  Micros TurnAt() const;
   Task<> AwaitTurn();
   void Settle(const Answer& answer, Micros called_at, bool news);
   Task<Answer> Ask(std::string path, Micros patience);
--- a/src/start/asking.h
+++ b/src/start/asking.h
@@ -13,9 +13,9 @@
 // - a watch waits long enough that all of them together take a part of the service only, and goes on after
 //   news, which all hear at once, at a time of its own;
 // - a call that failed is followed by another after a time drawn anew each time, so that those who ask a
-// service
-//   that is down make no wall when it is back; where the service shows that it has too many callers, all of
-//   these grow, and shrink again with its answers;
+//   service that is down make no wall when it is back; where the service shows that it has too many callers,
+//   all of these grow, and shrink again with its answers. Who has a list to send by asks no later than the
+//   list's clock says (membership/list_clock.h);
 // - calls are paid from a budget that time refills, and a list, but no failure.
 #ifndef BURLFALL_START_ASKING_H_
 #define BURLFALL_START_ASKING_H_
--- a/tests/membership/watch_test.cpp
+++ b/tests/membership/watch_test.cpp
@@ -111,7 +111,8 @@
 
 // The module's part: it asks once, at the start, and never again.
 Played Play(const Service::Script& script, Micros length, bool pushed = false,
-            std::optional<uint64_t> has = 1, Micros must_ask = 10 * kSecond, uint64_t seed = 7) {
+            std::optional<uint64_t> has = 1, Micros must_ask = 10 * kSecond, uint64_t seed = 7,
+            start::Asking* pace = nullptr) {
   world::World world(kBegin, seed);
   world::VirtualMachine machine(world);
   Config config;
@@ -122,9 +123,12 @@
   Service service(world, config.discovery, script);
   Counters counters;
   Played played;
-  Discovery discovery(machine, config, counters, [&](const HostList* list, const std::string&) {
-    (list != nullptr ? played.heard : played.failed).push_back(world.scheduler.Now() - kBegin);
-  });
+  Discovery discovery(
+      machine, config, counters,
+      [&](const HostList* list, const std::string&) {
+        (list != nullptr ? played.heard : played.failed).push_back(world.scheduler.Now() - kBegin);
+      },
+      pace);
   discovery.Start(has);
   if (!pushed) discovery.Follow();
   const auto end = [&]() -> Task<> {
@@ -266,6 +270,55 @@
   }
 }
 
+// Paced starts as well, once there is a list to send by: their turns may be a minute apart where hundreds
+// share a service, and grow with its refusals.
+TEST(Watch, WhereStartsArePacedTheSameHoldsOnceThereIsAList) {
+  for (const std::string_view away : {kBusy, kBusyForAnHour}) {
+    for (uint64_t seed = 1; seed <= 12; ++seed) {
+      const Micros back = 4 * kSecond + static_cast<Micros>(seed) * 700 * kMs;
+      start::Asking pace({.must_ask_within = 60 * kSecond, .balancers = 300, .calls_per_s = 50, .number = 30},
+                         seed);
+      pace.Begin(kBegin, true, 0);
+      const Played played = Play(
+          [&](size_t, const std::string& path, Micros at) {
+            if (at < back) return Service::Say{std::string(away)};
+            const bool watch = path.find("wait=") != std::string::npos;
+            return Service::Say{Ok(watch ? kNothing : kWhole), watch ? WaitIn(path) : 1800 * kMs};
+          },
+          back + 8 * kSecond, false, {}, 60 * kSecond, seed, &pace);
+      ASSERT_FALSE(played.failed.empty());
+      ASSERT_LT(played.failed[0], back);
+      ASSERT_FALSE(played.heard.empty()) << away << " " << seed;
+      EXPECT_LE(played.heard[0], back + 6 * kSecond) << away << " " << seed;
+    }
+  }
+}
+
+// And a call that falls silent is found out in time, where there is a list to send by.
+TEST(Watch, WhereStartsArePacedASilentCallIsFollowedInTimeOnceThereIsAList) {
+  start::Asking pace({.must_ask_within = 60 * kSecond, .balancers = 300, .calls_per_s = 50, .number = 30}, 1);
+  pace.Begin(kBegin, true, 0);
+  const Played played = Play(
+      [&](size_t call, const std::string& path, Micros) {
+        if (call == 0) return Service::Say{};
+        return Service::Say{Ok(kWhole), path.find("wait=") == std::string::npos ? 1800 * kMs : WaitIn(path)};
+      },
+      12 * kSecond, false, {}, 60 * kSecond, 7, &pace);
+  ASSERT_FALSE(played.calls.empty());
+  ASSERT_FALSE(played.heard.empty());
+  EXPECT_LE(played.heard[0], played.calls[0].at + 6 * kSecond);
+}
+
+// Without a list nothing can be sent, and no rule broken: there the pace alone holds.
+TEST(Watch, WhereStartsArePacedWhoHasNoListKeepsToItsTurns) {
+  start::Asking pace({.must_ask_within = 10 * kSecond, .balancers = 300, .calls_per_s = 5, .number = 0}, 1);
+  pace.Begin(kBegin, false, 0);
+  const Played played =
+      Play([](size_t, const std::string&, Micros) { return Service::Say{std::string(kBusy)}; }, 60 * kSecond,
+           false, {}, 10 * kSecond, 1, &pace);
+  EXPECT_LE(played.calls.size(), 4u);
+}
+
 // All were turned away in one moment, with one word for all: they don't come back as one.
 TEST(Watch, WhoWasToldToComeBackLaterComesBackAtATimeOfItsOwn) {
   std::vector<Micros> again;
