--- a/tests/membership/watch_test.cpp
+++ b/tests/membership/watch_test.cpp
@@ -638,6 +638,58 @@
   EXPECT_FALSE(played.heard.empty());
 }
 
+// What can't be read is no word of later, and what can is bounded, whatever it says.
+TEST(Watch, NoRetryAfterPutsTheNextCallOffForLong) {
+  for (const char* value : {"", "-1", "nan", "inf", "1e999", "99999999999999999999999", "0", "1e-9",
+                            "0x7fffffff", "Wed, 21 Oct 2026 07:28:00 GMT", "5;5", "1 1"}) {
+    const Played played = Play(
+        [&](size_t call, const std::string& path, Micros) {
+          if (call > 0) return Service::Say{Ok(kNothing), WaitIn(path)};
+          return Service::Say{std::string("HTTP/1.1 503 Busy\r\nRetry-After: ") + value +
+                              "\r\nContent-Length: 0\r\n\r\n"};
+        },
+        4 * kSecond, false, 1, 3600 * kSecond);
+    ASSERT_GE(played.calls.size(), 2u) << value;
+    EXPECT_LE(played.calls[1].at, 1900 * kMs) << value;
+    EXPECT_GE(played.calls[1].at, 600 * kMs) << value;
+  }
+}
+
+// It is no list, and not asked for in a loop; nor does it stand in the way of the next one.
+TEST(Watch, AListOfHostileSizeIsACallThatFailed) {
+  const Played played = Play(
+      [](size_t call, const std::string&, Micros) {
+        if (call > 1) return Service::Say{Ok(kWhole)};
+        return Service::Say{
+            Ok(R"({"version":4,"full":true,)" + std::string(4 << 20, ' ') + R"("servers":[]})")};
+      },
+      6 * kSecond, false, {});
+  ASSERT_GE(played.failed.size(), 2u);
+  ASSERT_GE(played.calls.size(), 3u);
+  EXPECT_GE(played.calls[2].at - played.calls[0].at, kSecond);
+  EXPECT_FALSE(played.heard.empty());
+}
+
+// Two answers to one call, at once or one by one: the second is nobody's.
+TEST(Watch, ASecondAnswerIsNotTakenForThatOfTheNextCall) {
+  for (size_t cut : {size_t{0}, size_t{1}, size_t{40}}) {
+    const std::string second = Ok(R"({"version":5,"full":false,"servers":[]})");
+    const Played played = Play(
+        [&](size_t call, const std::string& path, Micros) {
+          if (call > 0)
+            return Service::Say{Ok(path.find("wait=") != std::string::npos ? kNothing : kWhole), 500 * kMs};
+          return Service::Say{Ok(kNothing) + second.substr(0, second.size() - cut)};
+        },
+        2 * kSecond);
+    ASSERT_GE(played.heard.size(), 2u);
+    EXPECT_TRUE(played.failed.empty()) << cut;
+    for (size_t i = 1; i < played.calls.size(); ++i) {
+      EXPECT_TRUE(played.calls[i].path.starts_with("/discovery/hosts?index=1&"))
+          << cut << " " << played.calls[i].path;
+    }
+  }
+}
+
 // A service whose changes are always older than what it has just listed is not asked without a pause.
 TEST(Watch, AServiceThatCountsFromFurtherBackEachTimeIsNotAskedInALoop) {
   const Played played = Play(
