Drills: discovery, signals and operators are heard while idle clients fill the descriptors

Nothing tested that the list is heard at the return of a discovery that was down while idle clients hold what descriptors there are: the drill before it takes all numbers away instead. 500 idle clients against 96 descriptors, discovery refuses and then listens: the list is taken, the watch follows, a call at the second address and SIGUSR1 are answered, and a query goes to the listed server.

--- a/tests/drills/drills_test.cpp
+++ b/tests/drills/drills_test.cpp
@@ -350,6 +350,49 @@
   CHECK(program.Wait(SIGTERM) == 0);
 }
 
+TEST_CASE(
+    "descriptors: idle clients fill them while discovery is down, and its list is heard at its return") {
+  Descriptor discovery(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  sockaddr_in at = Loopback(0);
+  socklen_t length = sizeof at;
+  REQUIRE(bind(discovery.get(), reinterpret_cast<sockaddr*>(&at), sizeof at) ==
+          0);  // refuses, until it listens
+  REQUIRE(getsockname(discovery.get(), reinterpret_cast<sockaddr*>(&at), &length) == 0);
+  Peer one, two;
+  Program program(ConfigText({.known = Entry("s-1", one.port),
+                              .discovery = ntohs(at.sin_port),
+                              .sockets = 96,
+                              .admin = "127.0.0.1:0"}));
+  std::vector<Link> idle;
+  const auto crowd = [&](int links) {
+    for (int i = 0; i < links; ++i) {
+      idle.push_back(Link::To(program.port));
+      REQUIRE(program.Descriptors() <= 96);
+    }
+  };
+  crowd(300);  // more than fit: as soon as some are let go the next are there
+  REQUIRE(listen(discovery.get(), 4) == 0);
+  REQUIRE(Readable(discovery.get(), kPatience * 1000));
+  Link watch(Descriptor(accept4(discovery.get(), nullptr, nullptr, SOCK_CLOEXEC)));
+  watch.Read();
+  crowd(100);
+  watch.Write(Ok(List(2, true, Entry("s-2", two.port))));
+  CHECK(watch.Read().find("index=2&") != std::string::npos);  // so it has taken that in, and follows
+  crowd(100);
+  CHECK(Call(program.admin, "GET", "/healthcheck") == 200);
+  program.Signal(SIGUSR1);
+  std::string line = program.AnyLine();
+  while (!line.empty() && line.find("taken=") == std::string::npos) line = program.AnyLine();
+  CHECK_FALSE(line.empty());
+  Link client = Link::To(program.port);
+  client.Write(Get("t1"));
+  Link link = two.Accept();
+  link.Read();
+  link.Write(Ok("fine"));
+  CHECK(client.Read().ends_with("fine"));
+  CHECK(program.Wait(SIGTERM) == 0);
+}
+
 TEST_CASE("memory: bodies for which there is none flow through, or are refused, and the process goes on") {
   Peer server;
   Folder folder;
