--- a/tests/stories/restart_test.cpp
+++ b/tests/stories/restart_test.cpp
@@ -120,4 +120,29 @@
 
 TEST_CASE("restart: the same where deadlines are short") { Restart(60000); }
 
+// The first word to end counts, and its time; a file is read in any phase.
+TEST_CASE("restart: further signals while it drains and closes change nothing of its end") {
+  Node silent(true);
+  Program program(ConfigText({.known = silent.Listed("s-1"), .deadline = 2000000}));
+  Link owed = Link::To(program.port);
+  owed.Write(Get("t1"));
+  program.Signal(SIGUSR1);
+  CHECK(program.Line().find("taken=1") != std::string::npos);
+  program.Signal(SIGTERM);
+  CHECK(program.Line().starts_with("burlfall: draining: "));
+  program.Configure("{");  // half written
+  program.Signal(SIGHUP);
+  CHECK(program.Line().starts_with("burlfall: configuration kept as it was: "));
+  program.Signal(SIGTERM);
+  program.Signal(SIGINT);
+  CHECK(program.Line().starts_with("burlfall: closing: "));
+  program.Configure(ConfigText({.known = silent.Listed("s-1"), .deadline = 2000000}));
+  program.Signal(SIGHUP);
+  CHECK(program.Line() == "burlfall: configuration read anew\n");
+  program.Signal(SIGTERM);
+  CHECK_FALSE(owed.Read().empty());  // answered, though its node never does
+  CHECK(program.Wait() == 0);
+  CHECK(program.output.find("draining") == std::string::npos);  // not again
+}
+
 }  // namespace burlfall
