A file or variable that can't be used ends with exit code 2

Seen: a configuration, the operators' properties, a variable or a passed descriptor that can't be used ended with 1, as a crash or a port that is taken does; only the TOML files ended with 2. Line: main() caught all alike. README still says 1.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -343,6 +343,9 @@
 int main(int argc, char** argv) {
   try {
     return Run(std::vector<std::string>(argv + 1, argv + argc));
+  } catch (const BadConfig& e) {  // a file or a variable that can't be used
+    std::cerr << "burlfall: " << e.what() << "\n";
+    return kUsageError;
   } catch (const std::exception& e) {
     std::cerr << "burlfall: " << e.what() << "\n";
     return 1;
