Platform's JSON: nothing is cut to a range or replaced in silence, and each refusal names its key

Seen: fewer than 64 descriptors or 16 MB were taken for as many; a limit that is a text, fractions of descriptors and limits that are no object fell back to 1,024 and 192 without a word; a cell that is a text or too large, a zone that is a number and a start that is a text were taken for cell, zone and start 0, which puts a node into another's group for repeats, or a cold one among the warm. A bad address was told without its key. Lines: platform_config.cpp, Number() and the clamps in LoadConfig() and ReadHost(). Ruled out: refusing a list for a weight of nothing, which bears on no rule; refusing unknown keys, which the platform may add. On SIGHUP a refused file leaves what was read before.

--- a/src/config/platform_config.cpp
+++ b/src/config/platform_config.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -17,6 +18,14 @@
 using simdjson::dom::element;
 using simdjson::dom::element_type;
 
+// The process itself needs some: listener, epoll, signals, discovery, the standard streams.
+constexpr int kFewestSockets = 16;
+constexpr double kLatestStart = 4e12;  // ms; a date
+constexpr int kMostCells = 65535;      // the wire's u16
+constexpr char kAnAddress[] = "an address such as 10.0.0.4:9000";
+
+std::string Digits(double number) { return std::to_string(static_cast<int64_t>(number)); }
+
 std::string ReadFile(Files& files, const std::string& path) {
   std::optional<std::string> text = files.Read(path);
   if (!text || text->empty()) throw BadConfig(path + ": can't be read, or is empty");
@@ -31,15 +40,62 @@
   return root;
 }
 
+// A value as it is told: on one line, cut short. One that is not there is nothing.
+std::string Shown(simdjson::simdjson_result<element> value) {
+  return value.error() ? "nothing" : simdjson::minify(value.value_unsafe()).substr(0, 60);
+}
+
+std::string Shown(std::string text) {
+  text.resize(std::min<size_t>(text.size(), 60));
+  std::replace_if(
+      text.begin(), text.end(), [](char c) { return c >= 0 && c < ' '; }, '?');
+  return '"' + text + '"';
+}
+
+[[noreturn]] void Refuse(const std::string& what, const std::string& expected, const std::string& found) {
+  throw BadConfig(what + ": expected " + expected + ", found " + found);
+}
+
+// Whether a key has no value. The platform may write null for it.
+bool LeftOut(simdjson::simdjson_result<element> value) { return value.error() || value.is_null(); }
+
+element Object(element object, const char* key, const std::string& what) {
+  const auto value = object[key];
+  if (value.error() || !value.is_object()) Refuse(what + key, "an object", Shown(value));
+  return value.value_unsafe();
+}
+
 std::string_view Text(element object, const char* key, const std::string& what) {
-  std::string_view value;
-  if (object[key].get(value)) throw BadConfig(what + ": no text at \"" + key + "\"");
-  return value;
+  std::string_view text;
+  if (object[key].get(text)) Refuse(what + key, "a text", Shown(object[key]));
+  return text;
+}
+
+// Empty where it is left out.
+std::string_view OptionalText(element object, const char* key, const std::string& what) {
+  return LeftOut(object[key]) ? std::string_view() : Text(object, key, what);
+}
+
+// Guards what is told by the platform against being cut to a range, or replaced, in silence.
+double Number(element object, const char* key, const std::string& what, double fallback, double least,
+              double most) {
+  const auto value = object[key];
+  if (LeftOut(value)) return fallback;
+  double number = 0;
+  if (value.get(number) || !(number >= least && number <= most)) {
+    Refuse(what + key, "a number from " + Digits(least) + " to " + Digits(most), Shown(value));
+  }
+  return number;
 }
 
-double Number(element object, const char* key, double fallback) {
-  double value = 0;
-  return object[key].get(value) || !std::isfinite(value) ? fallback : value;
+int Whole(element object, const char* key, const std::string& what, int fallback, int least, int most) {
+  const auto value = object[key];
+  if (LeftOut(value)) return fallback;
+  double number = 0;
+  if (value.get(number) || !(number >= least && number <= most) || number != std::floor(number)) {
+    Refuse(what + key, "a whole number from " + Digits(least) + " to " + Digits(most), Shown(value));
+  }
+  return static_cast<int>(number);
 }
 
 std::string Plain(element value) {
@@ -92,10 +148,10 @@
 }
 
 HostEntry ReadHost(element e, const meadowslip::Settings& settings) {
-  const std::string what = "host list";
+  const std::string what = "host list: ";
   HostEntry host;
   host.name = Text(e, "id", what);
-  if (host.name.empty()) throw BadConfig(what + ": an empty id");
+  if (host.name.empty()) throw BadConfig(what + "an empty id");
   std::string_view state = Text(e, "state", what);
   if (state == platform::kReady) {
     host.entry.state = meadowslip::BackendState::kReady;
@@ -104,22 +160,27 @@
   } else if (state == platform::kGone) {
     host.entry.state = meadowslip::BackendState::kGone;
   } else {
-    throw BadConfig(what + ": unknown state " + std::string(state.substr(0, 40)));
+    Refuse(what + "state", "Ready, Terminating or Gone", Shown(e["state"]));
   }
-  std::string_view address;
-  if (!e["addr"].get(address)) {
-    host.address = ParseAddress(std::string(address));
+  if (const std::string_view address = OptionalText(e, "addr", what); !address.empty()) {
+    const std::string text(address);
+    const std::optional<Address> read = ReadAddress(text);
+    if (!read) Refuse(what + "addr", kAnAddress, Shown(text));
+    host.address = *read;
   } else if (host.entry.state != meadowslip::BackendState::kGone) {
-    throw BadConfig(what + ": no address for " + host.name.substr(0, 40));
+    Refuse(what + "addr", kAnAddress, Shown(e["addr"]));
   }
-  std::string_view name;
-  if (!e["zone"].get(name)) host.entry.zone = Position(settings.zones, name);
-  if (!e["kind"].get(name)) host.entry.kind = Position(settings.kinds, name);
-  host.entry.cell = static_cast<int>(std::clamp(Number(e, "cell", 0), 0.0, 65535.0));
-  double size = Number(e, "weight", 1);
-  host.entry.size = size > 0 ? size : 1;
+  // Zones, cells and starts bear on the rules: repeats stay in a group, and a cold node gets little.
+  if (!LeftOut(e["zone"])) host.entry.zone = Position(settings.zones, Text(e, "zone", what));
+  if (!LeftOut(e["kind"])) host.entry.kind = Position(settings.kinds, Text(e, "kind", what));
+  host.entry.cell = Whole(e, "cell", what, 0, 0, kMostCells);
   host.entry.started_at =
-      static_cast<meadowslip::Micros>(std::clamp(Number(e, "started_ms", 0), 0.0, 4e12) * 1000);
+      static_cast<meadowslip::Micros>(Number(e, "started_ms", what, 0, 0, kLatestStart) * 1000);
+  // A weight bears on none: one that says nothing is no ground for not hearing the list.
+  double weight = 1;
+  if (!LeftOut(e["weight"]) && e["weight"].get(weight))
+    Refuse(what + "weight", "a number", Shown(e["weight"]));
+  host.entry.size = weight > 0 ? weight : 1;
   return host;
 }
 
@@ -162,24 +223,34 @@
 
 Config LoadConfig(const Environment& environment, Files& files) {
   const char* path = environment(platform::kConfigVariable);
-  if (path == nullptr) throw BadConfig(std::string(platform::kConfigVariable) + " is not set");
+  if (path == nullptr) Refuse(platform::kConfigVariable, "the path of a JSON file", "nothing");
   std::string text = ReadFile(files, path);
   simdjson::dom::parser parser;
   element root = ParseJson(parser, text, path);
-  auto given = [&](const char* variable, const char* key) {
+  const std::string what = std::string(path) + ": ";
+  // What is given by a variable or by a key, and how that is called where it can't be used.
+  struct Given {
+    std::string text;
+    std::string where;
+  };
+  auto given = [&](const char* variable, const char* key) -> Given {
     const char* value = environment(variable);
-    return value != nullptr ? std::string(value) : std::string(Text(root, key, path));
+    if (value != nullptr) return {value, variable};
+    return {std::string(Text(root, key, what)), what + key};
+  };
+  auto address = [](const Given& one) {
+    std::optional<Address> read = ReadAddress(one.text);
+    if (!read) Refuse(one.where, kAnAddress, Shown(one.text));
+    return *read;
   };
   Config config;
-  config.name = given(platform::kNameVariable, "name");
-  config.listen = ParseAddress(given(platform::kListenVariable, "listen"));
-  config.discovery = ParseAddress(given(platform::kDiscoveryVariable, "discovery"));
-  const char* admin = environment(platform::kAdminVariable);
-  std::string_view named;
-  if (admin != nullptr || !root["admin"].get(named)) {
-    config.admin = ParseAddress(admin != nullptr ? std::string(admin) : std::string(named));
-  } else if (!root["admin"].is_null() && root["admin"].error() != simdjson::NO_SUCH_FIELD) {
-    throw BadConfig(std::string(path) + ": \"admin\" is no text");
+  const Given name = given(platform::kNameVariable, "name");
+  if (name.text.empty()) Refuse(name.where, "a name", Shown(name.text));
+  config.name = name.text;
+  config.listen = address(given(platform::kListenVariable, "listen"));
+  config.discovery = address(given(platform::kDiscoveryVariable, "discovery"));
+  if (environment(platform::kAdminVariable) != nullptr || !LeftOut(root["admin"])) {
+    config.admin = address(given(platform::kAdminVariable, "admin"));
   }
   if (const char* passed = environment(platform::kPassedVariable)) {
     const std::string number = passed;
@@ -197,31 +268,28 @@
     }
     config.folder = folder;
   }
-  std::string_view seed = Text(root, "seed", path);
+  const std::string seed(Text(root, "seed", what));
   auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), config.seed, 16);
   if (error != std::errc() || end != seed.data() + seed.size()) {
-    throw BadConfig(std::string(path) + ": \"seed\" is not a hexadecimal number");
-  }
-  element limits;
-  if (!root["limits"].get(limits)) {
-    config.sockets = static_cast<int>(std::clamp(Number(limits, "sockets", 1024), 64.0, 1e6));
-    config.memory_mb = static_cast<int>(std::clamp(Number(limits, "memory_mb", 192), 16.0, 1e6));
+    Refuse(what + "seed", "1 to 16 hexadecimal digits", Shown(seed));
   }
-  element settings;
-  if (root["settings"].get(settings) || settings.type() != element_type::OBJECT) {
-    throw BadConfig(std::string(path) + ": no \"settings\"");
+  if (!LeftOut(root["limits"])) {
+    constexpr int kMost = std::numeric_limits<int>::max();
+    const element limits = Object(root, "limits", what);
+    config.sockets = Whole(limits, "sockets", what + "limits.", config.sockets, kFewestSockets, kMost);
+    config.memory_mb =
+        static_cast<int>(Number(limits, "memory_mb", what + "limits.", config.memory_mb, 1, kMost));
   }
+  const element settings = Object(root, "settings", what);
   config.settings_json = simdjson::minify(settings);
   std::string lines;
   Flatten("", settings, lines);
   try {
     config.settings = meadowslip::ParseSettings(lines);
   } catch (const meadowslip::BadInput& e) {
-    throw BadConfig(std::string(path) + ": " + e.what());
+    throw BadConfig(what + e.what());
   }
-  element known;
-  if (root["known"].get(known)) throw BadConfig(std::string(path) + ": no \"known\" list");
-  config.known = ReadHostList(known, config.settings);
+  config.known = ReadHostList(Object(root, "known", what), config.settings);
   return config;
 }
 
--- a/tests/config/platform_test.cpp
+++ b/tests/config/platform_test.cpp
@@ -69,8 +69,133 @@
   return "taken";
 }
 
+HostList Listed(const std::string& fields) {
+  return ParseHostList(
+      R"({"version":1,"full":true,"servers":[{"id":"s-1","addr":"10.1.0.1:9","state":"Ready")" + fields +
+          "}]}",
+      {});
+}
+
+std::string ListComplaint(const std::string& fields) {
+  try {
+    Listed(fields);
+  } catch (const BadConfig& e) {
+    return e.what();
+  }
+  return "taken";
+}
+
 std::string SettingsComplaint(const std::string& json) { return Complaint({{"settings", json}}); }
 
+TEST(PlatformLimits, AreTakenAsTheyAreGiven) {
+  for (int given : {16, 48, 63, 64, 1024, 2000000}) {
+    EXPECT_EQ(Load({{"limits", "{\"sockets\":" + std::to_string(given) + "}"}}).sockets, given);
+  }
+  for (int given : {1, 8, 15, 16, 192, 2000000}) {
+    EXPECT_EQ(Load({{"limits", "{\"memory_mb\":" + std::to_string(given) + "}"}}).memory_mb, given);
+  }
+  EXPECT_EQ(Load({{"limits", R"({"memory_mb":96.9,"sockets":512.0})"}}).memory_mb, 96)
+      << "never above the limit";
+}
+
+TEST(PlatformLimits, ThatAreLeftOutAreThePages) {
+  for (const char* limits : {"", "null", "{}", R"({"sockets":null,"memory_mb":null})", R"({"cores":1})"}) {
+    const Config config = Load({{"limits", limits}});
+    EXPECT_EQ(config.sockets, 1024) << limits;
+    EXPECT_EQ(config.memory_mb, 192) << limits;
+  }
+}
+
+TEST(PlatformLimits, ThatCantBeUsedAreRefusedByName) {
+  for (const char* bad :
+       {"0", "15", "-5", "1024.5", "\"1024\"", "true", "[64]", "{}", "3000000000", "-1e+30"}) {
+    EXPECT_EQ(
+        Complaint({{"limits", std::string("{\"sockets\":") + bad + "}"}}),
+        std::string("c.json: limits.sockets: expected a whole number from 16 to 2147483647, found ") + bad);
+  }
+  for (const char* bad : {"0", "0.5", "-1", "\"96\"", "false", "[]", "3000000000"}) {
+    EXPECT_EQ(Complaint({{"limits", std::string("{\"memory_mb\":") + bad + "}"}}),
+              std::string("c.json: limits.memory_mb: expected a number from 1 to 2147483647, found ") + bad);
+  }
+  for (const char* bad : {"7", "[]", "\"few\"", "true"}) {
+    EXPECT_EQ(Complaint({{"limits", bad}}), std::string("c.json: limits: expected an object, found ") + bad);
+  }
+}
+
+TEST(PlatformAddresses, ThatCantBeUsedAreToldByKeyOrVariable) {
+  const std::string address = ": expected an address such as 10.0.0.4:9000, found ";
+  EXPECT_EQ(Complaint({{"listen", R"("here")"}}), "c.json: listen" + address + "\"here\"");
+  EXPECT_EQ(Complaint({{"discovery", R"("10.0.0.4")"}}), "c.json: discovery" + address + "\"10.0.0.4\"");
+  EXPECT_EQ(Complaint({{"admin", R"("10.0.0.4:99999")"}}), "c.json: admin" + address + "\"10.0.0.4:99999\"");
+  EXPECT_EQ(Complaint({}, {{"PROXY_LISTEN", "here"}}), "PROXY_LISTEN" + address + "\"here\"");
+  EXPECT_EQ(Complaint({}, {{"PROXY_DISCOVERY", ""}}), "PROXY_DISCOVERY" + address + "\"\"");
+  EXPECT_EQ(Complaint({}, {{"PROXY_ADMIN", "x:y"}}), "PROXY_ADMIN" + address + "\"x:y\"");
+  EXPECT_EQ(Load({{"listen", ""}}, {{"PROXY_LISTEN", "10.0.0.9:1"}}).listen.text, "10.0.0.9:1");
+}
+
+TEST(PlatformTexts, ThatAreMissingOrOfAnotherTypeAreToldByKey) {
+  for (const char* key : {"name", "listen", "discovery", "seed"}) {
+    EXPECT_EQ(Complaint({{key, ""}}), std::string("c.json: ") + key + ": expected a text, found nothing");
+    EXPECT_EQ(Complaint({{key, "5"}}), std::string("c.json: ") + key + ": expected a text, found 5");
+    EXPECT_EQ(Complaint({{key, "null"}}), std::string("c.json: ") + key + ": expected a text, found null");
+  }
+  EXPECT_EQ(Complaint({{"name", "\"\""}}), "c.json: name: expected a name, found \"\"");
+  EXPECT_EQ(Complaint({}, {{"PROXY_NAME", ""}}), "PROXY_NAME: expected a name, found \"\"");
+  EXPECT_EQ(Complaint({{"admin", "5"}}), "c.json: admin: expected a text, found 5");
+  for (const char* bad : {"\"\"", "\"seed\"", "\"-1\"", "\"11112222333344445\""}) {
+    EXPECT_EQ(Complaint({{"seed", bad}}),
+              std::string("c.json: seed: expected 1 to 16 hexadecimal digits, found ") + bad);
+  }
+  for (const char* bad : {"", "null", "[]", "5"}) {
+    EXPECT_EQ(Complaint({{"settings", bad}}),
+              std::string("c.json: settings: expected an object, found ") + (*bad == 0 ? "nothing" : bad));
+    EXPECT_EQ(Complaint({{"known", bad}}),
+              std::string("c.json: known: expected an object, found ") + (*bad == 0 ? "nothing" : bad));
+  }
+  EXPECT_EQ(Complaint({{"surprise", "[{}]"}}), "taken") << "the platform's format may grow";
+}
+
+TEST(PlatformList, AnEntryWithoutAStateOrAnAddressIsToldOnOneLine) {
+  const auto complaint = [](const std::string& fields) -> std::string {
+    try {
+      ParseHostList(R"({"version":1,"full":true,"servers":[{"id":"s-1")" + fields + "}]}", {});
+    } catch (const BadConfig& e) {
+      return e.what();
+    }
+    return "taken";
+  };
+  EXPECT_EQ(complaint(R"(,"state":"Odd\n","addr":"10.1.0.1:9")"),
+            "host list: state: expected Ready, Terminating or Gone, found \"Odd\\n\"");
+  EXPECT_EQ(complaint(R"(,"state":"Ready")"),
+            "host list: addr: expected an address such as 10.0.0.4:9000, found nothing");
+  EXPECT_EQ(complaint(R"(,"state":"Ready","addr":"a\nb")"),
+            "host list: addr: expected an address such as 10.0.0.4:9000, found \"a?b\"");
+  EXPECT_EQ(complaint(R"(,"state":"Gone")"), "taken");
+}
+
+// Groups within which repeats are recognised, and starts, bear on the rules: a node that is put into
+// another's cell or zone, or taken for warm, breaks one.
+TEST(PlatformList, AnEntryThatBearsOnARuleIsNotTakenForAnother) {
+  const HostList plain =
+      Listed(R"(,"cell":65535,"weight":0.5,"started_ms":1700000000000,"zone":null,"kind":null)");
+  EXPECT_EQ(plain.hosts.at(0).entry.cell, 65535);
+  EXPECT_EQ(plain.hosts.at(0).entry.started_at, 1700000000000 * 1000);
+  EXPECT_EQ(Listed("").hosts.at(0).entry.started_at, 0);
+  EXPECT_EQ(Listed(R"(,"cell":null,"weight":null,"started_ms":null)").hosts.at(0).entry.cell, 0);
+  EXPECT_EQ(Listed(R"(,"weight":0)").hosts.at(0).entry.size, 1) << "a weight bears on no rule";
+  for (const char* bad : {"65536", "-1", "1.5", "\"3\"", "true", "1e+30"}) {
+    EXPECT_EQ(ListComplaint(std::string(",\"cell\":") + bad),
+              std::string("host list: cell: expected a whole number from 0 to 65535, found ") + bad);
+  }
+  for (const char* bad : {"-1", "\"5\"", "false", "1e+30"}) {
+    EXPECT_EQ(ListComplaint(std::string(",\"started_ms\":") + bad),
+              std::string("host list: started_ms: expected a number from 0 to 4000000000000, found ") + bad);
+  }
+  EXPECT_EQ(ListComplaint(R"(,"weight":"1")"), "host list: weight: expected a number, found \"1\"");
+  EXPECT_EQ(ListComplaint(R"(,"zone":3)"), "host list: zone: expected a text, found 3");
+  EXPECT_EQ(ListComplaint(R"(,"kind":["a"])"), "host list: kind: expected a text, found [\"a\"]");
+}
+
 TEST(PlatformSettings, CountsAreWholeAndSharesAreShares) {
   for (const char* key : {"Balancers", "SlotNo", "MyZone"}) {
     EXPECT_EQ(SettingsComplaint(std::string("{\"") + key + "\":2.5}")
--- a/tests/service/operators_test.cpp
+++ b/tests/service/operators_test.cpp
@@ -41,7 +41,8 @@
   CHECK(none.admin == 0);
   Program bad(ConfigText({.admin = "nowhere"}));
   CHECK(bad.Wait() == 2);
-  CHECK(bad.output == "burlfall: not an address: nowhere\n");
+  CHECK(bad.output.ends_with(": admin: expected an address such as 10.0.0.4:9000, found \"nowhere\"\n"));
+  CHECK(std::count(bad.output.begin(), bad.output.end(), '\n') == 1);
   Program variable(ConfigText({}), {"serve"}, nullptr, {.variables = {{"PROXY_ADMIN", "127.0.0.1:0"}}});
   CHECK(variable.admin != 0);
 }
--- a/tests/stories/stories_test.cpp
+++ b/tests/stories/stories_test.cpp
@@ -414,6 +414,12 @@
   program.Configure("{");
   program.Signal(SIGHUP);
   CHECK(program.Line().starts_with("burlfall: configuration kept as it was: "));
+  Setup none = first;
+  none.sockets = 0;  // out of range, and so is all of it left unread
+  none.discovery = next.port;
+  program.Configure(ConfigText(none));
+  program.Signal(SIGHUP);
+  CHECK(program.Line().find(": limits.sockets: expected a whole number from 16 ") != std::string::npos);
   Setup second = first;
   second.discovery = next.port;
   program.Configure(ConfigText(second));
@@ -456,6 +462,19 @@
   CHECK(settings.open_cap == 7);
 }
 
+TEST_CASE("the smallest limits start and serve, and are the ones that count") {
+  Peer server;
+  Program program(ConfigText({.known = Entry("s-1", server.port), .sockets = 16, .memory_mb = 1}));
+  Link client = Link::To(program.port);
+  client.Write(Get("t1"));
+  Link link = server.Accept();
+  link.Read();
+  link.Write(Ok("fine"));
+  CHECK(client.Read().ends_with("fine"));
+  CHECK(program.Descriptors() <= 16);
+  CHECK(program.Wait(SIGTERM) == 0);
+}
+
 TEST_CASE("a start that can't be is one plain line and a code, and nothing half started") {
   const std::string good = ConfigText({.known = Entry("s-1", 1)});
   std::vector<std::string> bad = {"", "{", "{}", "[1]"};
