--- a/tests/stories/stories_test.cpp
+++ b/tests/stories/stories_test.cpp
@@ -414,6 +414,12 @@
   program.Configure("{");
   program.Signal(SIGHUP);
   CHECK(program.Line().starts_with("burlfall: configuration kept as it was: "));
+  Setup none = first;
+  none.sockets = 0;  // out of range, and so is all of it left unread
+  none.discovery = next.port;
+  program.Configure(ConfigText(none));
+  program.Signal(SIGHUP);
+  CHECK(program.Line().find(": limits.sockets: expected a whole number from 16 ") != std::string::npos);
   Setup second = first;
   second.discovery = next.port;
   program.Configure(ConfigText(second));
@@ -456,24 +462,42 @@
   CHECK(settings.open_cap == 7);
 }
 
+TEST_CASE("the smallest limits start and serve, and are the ones that count") {
+  Peer server;
+  Program program(ConfigText({.known = Entry("s-1", server.port), .sockets = 16, .memory_mb = 1}));
+  Link client = Link::To(program.port);
+  client.Write(Get("t1"));
+  Link link = server.Accept();
+  link.Read();
+  link.Write(Ok("fine"));
+  CHECK(client.Read().ends_with("fine"));
+  CHECK(program.Descriptors() <= 16);
+  CHECK(program.Wait(SIGTERM) == 0);
+}
+
 TEST_CASE("a start that can't be is one plain line and a code, and nothing half started") {
   const std::string good = ConfigText({.known = Entry("s-1", 1)});
   std::vector<std::string> bad = {"", "{", "{}", "[1]"};
   for (auto [from, to] : std::vector<std::pair<std::string, std::string>>{{"127.0.0.1:0", "here"},
                                                                           {"8c1f30d27a5be964", "seed"},
                                                                           {"\"pure\"", "\"other\""},
-                                                                          {"\"Ready\"", "\"Odd\""},
-                                                                          {"127.0.0.1:0", "192.0.2.1:9"}}) {
+                                                                          {"\"Ready\"", "\"Odd\""}}) {
     bad.push_back(good);
     bad.back().replace(good.find(from), from.size(), to);
   }
   for (const std::string& config : bad) {
     CAPTURE(config);
     Program program(config);
-    CHECK(program.Wait() == 1);
+    CHECK(program.Wait() == 2);
     CHECK(program.output.starts_with("burlfall: "));
     CHECK(std::count(program.output.begin(), program.output.end(), '\n') == 1);
   }
+  std::string elsewhere = good;  // a sound file, and an address that this machine does not have
+  elsewhere.replace(good.find("127.0.0.1:0"), 11, "192.0.2.1:9");
+  Program away(elsewhere);
+  CHECK(away.Wait() == 1);
+  CHECK(away.output.starts_with("burlfall: "));
+  CHECK(std::count(away.output.begin(), away.output.end(), '\n') == 1);
   CHECK(Program(good, {"check-config"}).Wait() == 0);
   CHECK(Program(good, {"version"}).Wait() == 0);
   CHECK(Program(good, {"dance"}).Wait() == 2);
