Links: few descriptors are counted as they are

Seen: with fewer than 64 descriptors links were counted as if there were 64 (links/budget.cpp, the max in Allow()): 32 links beside 32 in reserve, where 16, 24, 48 or 63 are given, so accepting ran into the system's limit. Ruled out: the settings, which now hold from 16 on. Half is links' now where there are few; what is reserved beyond all leaves none. Before: 4 of the test's sizes over their limit by 1 to 48; after: none.

--- a/src/front/http_front.cpp
+++ b/src/front/http_front.cpp
@@ -141,7 +141,7 @@
     // holds more than it may is stopped.
     const size_t most = parts_.budget.most();
     const bool over = parts_.config.in_service && open() >= most - most / kServersPart;
-    if (over || parts_.budget.open() >= most + LinkBudget::kSpare / 2) {
+    if (over || parts_.budget.open() >= most + parts_.budget.spare() / 2) {
       // Beside those that end already. Guards the links that may stay: one that waits for its client's end is
       // still counted, and each look for room would shed as many more.
       const size_t wanted = kShedAtOnce - std::min(Ending(), kShedAtOnce);
--- a/src/links/budget.cpp
+++ b/src/links/budget.cpp
@@ -5,7 +5,9 @@
 namespace burlfall {
 
 void LinkBudget::Allow(size_t descriptors, size_t reserved) {
-  most_ = std::max(descriptors, 2 * kSpare + reserved) - kSpare - reserved;
+  const size_t left = descriptors - std::min(descriptors, reserved);
+  spare_ = std::min(kSpare, left / 2);  // where there are few, half is links' all the same
+  most_ = left - spare_;
 }
 
 size_t LinkBudget::open() const {
--- a/src/links/budget.h
+++ b/src/links/budget.h
@@ -29,12 +29,14 @@
 
   size_t open() const;
   size_t most() const { return most_; }
+  size_t spare() const { return spare_; }  // beside those, kSpare where there are enough
   bool tight() const { return open() >= most_ * 3 / 4; }
   // Whether one more link fits, once room was made for it where it had to be.
   bool MakeRoom(size_t wanted = 1);
 
  private:
   size_t most_ = 0;
+  size_t spare_ = kSpare;
   std::vector<LinkHolder*> holders_;
 };
 
