--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -564,7 +564,7 @@
     front_.StandAside();
   } else {
     log_.Tell<"back_to_work">((machine_.Now() - aside_since_) / kMs);
-// One that has handed over keeps it for the case that it takes the door back.
+    // One that has handed over keeps it for the case that it takes the door back.
     front_.ComeBack();
   }
   moved_.Notify();
