--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -554,6 +554,7 @@
   co_await council_->Done(permission);
 }
 
+// One that has handed over keeps it for the case that it takes the door back.
 void Program::SetAside(bool aside) {
   Phase& phase = phase_ == Phase::kHandedOver ? before_hand_on_ : phase_;
   if (phase != (aside ? Phase::kServing : Phase::kAside)) return;
@@ -564,7 +565,6 @@
     front_.StandAside();
   } else {
     log_.Tell<"back_to_work">((machine_.Now() - aside_since_) / kMs);
-    // One that has handed over keeps it for the case that it takes the door back.
     front_.ComeBack();
   }
   moved_.Notify();
