--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -107,8 +107,8 @@
     b.limit = std::min(b.limit, kFirstLimit);
     b.failures = 0, b.wake_at = std::min(b.wake_at, turn.now);  // what slept was its earlier life
   }
-  // A cold backend's budget is earned evenly, each node's part by itself, also where that is one request in
-  // many windows. Work is reckoned in the class's usual latency against one core: both err on the safe side.
+  // A cold backend's budget is earned evenly, each node's part by itself, and kept for half a window: where a
+  // request takes longer to earn, it is earned anew then. Work is the class's usual latency against one core.
   double ColdRate(const Backend& b, double parts) const {
     return kColdSafety * turn.set.overload_factor * Capacity(b, turn.now) / parts;
   }
@@ -116,10 +116,10 @@
     return b.credit + ColdRate(b, parts) * static_cast<double>(turn.now - b.credited_at);
   }
   bool ColdAllows(Backend& b, double work) const {
-    double most = ColdRate(b, sharers) * static_cast<double>(turn.set.overload_window) / 2;
-    b.credit = std::min(std::max(work + b.first_work, most), Credit(b, sharers));
-    b.credited_at = turn.now;
-    return b.credit >= std::max(work, b.first_work);
+    const double least = std::max(work, b.first_work), earned = Credit(b, sharers);
+    const double most = ColdRate(b, sharers) * static_cast<double>(turn.set.overload_window) / 2;
+    b.credit = most < least ? std::fmod(earned, least + most) : std::min(most, earned);
+    return b.credited_at = turn.now, b.credit >= least;
   }
   // When it can take the least of requests again, at the latest: the rate only grows.
   Micros EarnedAt(const Backend& b, double parts) const {
--- a/tests/module/cold_test.cpp
+++ b/tests/module/cold_test.cpp
@@ -20,6 +20,8 @@
 };
 const Figures kFour = {"four", 4, 1500 * kMs, 0.12, 23 * kSecond, {32 * kMs, 55 * kMs, 51 * kMs}};
 const Figures kThree = {"three", 3, 2000 * kMs, 0.13, 24 * kSecond, {25 * kMs, 37 * kMs, 41 * kMs}};
+const Figures kTwo = {"two", 2, 1500 * kMs, 0.2, 40 * kSecond, {50 * kMs, 70 * kMs, 90 * kMs}};
+const Figures kHalfAsMuchAgain = {"1.5", 1.5, 1500 * kMs, 0.1, 60 * kSecond, {50 * kMs, 50 * kMs, 50 * kMs}};
 const Figures kCheap = {"cheap", 4, 1500 * kMs, 0.12, 23 * kSecond, {4 * kMs, 5 * kMs, 6 * kMs}};
 
 ColdFleet::Plan PlanOf(const Figures& figures, int balancers, int nodes, uint64_t seed) {
@@ -269,5 +271,32 @@
 INSTANTIATE_TEST_SUITE_P(Nodes, Cold, testing::ValuesIn(Cases()),
                          [](const auto& one) { return std::string(one.param.name); });
 
+// Guards against a request, or two, that each of many balancers has saved up for a cold node while little
+// came: in the first moment of a burst all of them go there. So it is where a balancer's part of what the
+// settings allow in a window is less than a request.
+TEST(ColdBurst, WhatABalancerDoesNotSendItDoesNotSaveUp) {
+  for (const Figures& figures : {kTwo, kHalfAsMuchAgain}) {
+    for (const int nodes : {12, 40}) {
+      for (const Micros quiet : {0, 3, 6, 12}) {
+        const auto play = [&](ColdFleet& f) {
+          Learn(f, 2);
+          StartAndTell(f);
+          f.Run(0.01, quiet * kSecond);
+        };
+        SCOPED_TRACE(quiet);
+        Play({"", play}, figures, 30, nodes, 3);
+      }
+    }
+  }
+}
+
+// So do further attempts, of what fails elsewhere or hangs there.
+TEST(ColdBurst, FurtherAttemptsHaveNothingSavedUpEither) {
+  for (const Case& c : Cases()) {
+    const std::string name = c.name;
+    if (name == "TheOthersFail" || name == "HalfOfTheOthersHang") Play(c, kTwo, 30, 12, 4);
+  }
+}
+
 }  // namespace
 }  // namespace meadowslip
