--- a/src/policy/health.h
+++ b/src/policy/health.h
@@ -22,9 +22,7 @@
   // A backend may fail one class and serve the others: a success clears the row only if its own class failed
   // in it, and a row of one class that others came through puts the backend to sleep for that class alone.
   // Harm: a class of few requests that fails now and then by chance sleeps too.
-  void OnFailure(Backend& b, int cls, Outcome outcome, bool trial) {
-    // Without a connection that served before, a refused one may only mean that the backend has its most.
-    if (outcome == Outcome::kConnectFailed && b.served) ++b.refused_connections;
+  void OnFailure(Backend& b, int cls, bool trial) {
     if (turn.now - b.up_since < kStartGrace && !trial) return;  // grace after start
     if (b.Asleep(cls)) {
       if (trial) FailureEvent(b);
--- a/src/policy/results.h
+++ b/src/policy/results.h
@@ -66,7 +66,7 @@
       a.overdue = true;
       ++b.overdue;
       --load.out;
-      if (a.trial || !r.FailedBefore(k)) health.OnFailure(b, r.cls, Outcome::kTimeout, a.trial);
+      if (a.trial || !r.FailedBefore(k)) health.OnFailure(b, r.cls, a.trial);
       fleet.Reward(b, 0);
       bool safe = turn.set.classes[r.cls].idempotency == Idempotency::kSafe;
       if (safe && !r.closed && turn.set.second_copies) Retry(r);
@@ -98,12 +98,14 @@
       if (usual > learned.latency) learned.Learn(usual);  // it would have taken this long at the least
     } else if (result.outcome != Outcome::kMoot) {
       const bool silent = result.outcome == Outcome::kTimeout;
+      // Without a connection that served before, a refused one may only mean that the backend has its most.
+      b.refused_connections += result.outcome == Outcome::kConnectFailed && b.served;
       // Counted when it fell due; and a sparse node's own time-out at the aim says little by itself.
-      if (silent && (a.overdue || (fleet.sparse && c.late_share == 0 && !a.trial))) return;
+      if (a.overdue || (silent && fleet.sparse && c.late_share == 0 && !a.trial)) return;
       // A request that failed elsewhere before is suspect itself: a poison request must not raise sleeps
       // everywhere. The second backend's payoff falls all the same.
       if (a.trial || result.outcome == Outcome::kConnectFailed || !r.FailedBefore(result.attempt)) {
-        health.OnFailure(b, r.cls, result.outcome, a.trial);
+        health.OnFailure(b, r.cls, a.trial);
       }
       fleet.Reward(b, 0);
       if (silent) load.Adapt(b, true);
--- a/tests/module/policy_test.cpp
+++ b/tests/module/policy_test.cpp
@@ -41,6 +41,22 @@
   EXPECT_EQ(b.SendsTo(1), 5);
 }
 
+// Guards against a sleep of four times the last one, doubled as the trial falls due and again by its end.
+TEST(Health, ATrialThatIsOverdueAndThenFailsDoublesTheSleepOnce) {
+  Bench b = TwoUp();
+  const size_t from = PutToSleep(b);
+  const Micros end = b.now + 40 * kSecond;
+  while (b.now < end) {
+    const RequestId id = b.Request();
+    for (int attempt = 0; attempt < b.Count(Act::kSend, id); ++attempt) {
+      const bool bad = b.SentTo(id) == 1;
+      b.Pass(bad ? 1500 * kMs : 10 * kMs);
+      b.Result(id, attempt, bad ? Outcome::kError : Outcome::kOk);
+    }
+  }
+  EXPECT_EQ(b.SendsTo(1, from), 5);  // after 1, 2, 4, 8 and 16 s; doubled twice: after 1, 4 and 16 s
+}
+
 TEST(Health, ASuccessBetweenFailuresStartsTheCountAnew) {
   Bench b = TwoUp();
   for (int i = 0; i < 4; ++i) {
--- a/tests/module/rules_test.cpp
+++ b/tests/module/rules_test.cpp
@@ -266,6 +266,29 @@
   EXPECT_LT(WorstWindow(b, s.overload_window, 0.05, from), 2 * 0.4 / 3);
 }
 
+// Guards against a restart that goes unseen because its connections were overdue before they failed.
+TEST(ColdBackends, ARestartAfterConnectionsThatNeverCameUpIsColdToo) {
+  Settings s = PlainSettings();
+  s.nodes = 3;
+  Bench b(s);
+  b.Ready({1, 2, 3});
+  HeavyTraffic(b, b.now + 5 * kSecond, 50 * kMs);
+  for (int i = 0; i < 40; ++i) {
+    const RequestId id = b.Request(2);
+    for (int attempt = 0; attempt < b.Count(Act::kSend, id); ++attempt) {
+      const bool bad = b.SentTo(id) == 1;
+      b.Pass(bad ? 1500 * kMs : 50 * kMs);
+      b.Result(id, attempt, bad ? Outcome::kConnectFailed : Outcome::kOk);
+    }
+  }
+  b.Pass(4 * kSecond);
+  b.Traffic(1, 0, Outcome::kOk, 0, 50 * kMs);  // the trial finds it back
+  const size_t from = b.actions.size();
+  HeavyTraffic(b, b.now + kSecond, 50 * kMs);
+  EXPECT_GT(b.SendsTo(1, from), 0);
+  EXPECT_LT(WorstWindow(b, s.overload_window, 0.05, from), 2 * 0.4 / 3);
+}
+
 // Guards against taking one connection that was reset for a restart: on a day of resets warm backends had the
 // limit of cold ones, and queries were throttled for it.
 TEST(ColdBackends, OneRefusedConnectionIsNoRestart) {
