--- a/tests/module/cold_fleet.h
+++ b/tests/module/cold_fleet.h
@@ -3,6 +3,7 @@
 #ifndef MEADOWSLIP_TESTS_COLD_FLEET_H_
 #define MEADOWSLIP_TESTS_COLD_FLEET_H_
 
+#include <array>
 #include <cmath>
 #include <deque>
 #include <functional>
@@ -79,6 +80,9 @@
     }
   }
 
+  ColdFleet(const ColdFleet&) = delete;  // its balancers know where it is
+  ColdFleet& operator=(const ColdFleet&) = delete;
+
   // What a balancer is told: one of them, or all, each within a time of its own.
   void Tell(int balancer, ListKind kind, const std::vector<BackendEntry>& entries) {
     One& one = *balancers_.at(static_cast<size_t>(balancer));
@@ -138,7 +142,19 @@
   Micros now = 100 * kSecond;
   Micros tolerated = 0;  // a start told as so much earlier counts as told: the balancer's clock is ahead
   ColdCount count;
-  long asked = 0, served = 0;
+  // Of those that asked, how many had their answer within the aim: by class, tenant and second.
+  struct Tally {
+    double asked = 0, in_time = 0;
+    double share() const { return in_time / std::max(asked, 1.0); }
+  };
+  void CountFromNow() {
+    counted_from_ = now;
+    by_class.clear();
+    by_tenant.clear();
+    by_second.clear();
+  }
+  std::map<int, Tally> by_class, by_tenant;
+  std::map<Micros, Tally> by_second;
 
  private:
   struct One final : ActionSink {
@@ -159,7 +175,10 @@
 
     struct Asked {
       double work = 0;
+      Micros came_at = 0;
       Micros give_up_at = 0;
+      int cls = 0;
+      int tenant = 0;
       int attempts = 0;
     };
     ColdFleet& fleet;
@@ -184,6 +203,19 @@
     const double least = settings.start_capacity;
     return n.started_at == 0 ? 1 : least + (1 - least) * std::clamp(age, 0.0, 1.0);
   }
+  void Answered(One& one, RequestId id) {
+    auto it = one.held.find(id);
+    if (it == one.held.end()) return;
+    const One::Asked& query = it->second;
+    const bool in_time = now - query.came_at <= settings.classes[static_cast<size_t>(query.cls)].aim;
+    if (query.came_at >= counted_from_) {
+      for (Tally* tally : Tallies(query)) tally->in_time += in_time;
+    }
+    one.held.erase(it);
+  }
+  std::array<Tally*, 3> Tallies(const One::Asked& query) {
+    return {&by_class[query.cls], &by_tenant[query.tenant], &by_second[query.came_at / kSecond]};
+  }
   double Carried() const {
     double all = 0;
     for (const Node& n : nodes_) all += n.speed;
@@ -202,12 +234,15 @@
   void Ask(int balancer) {
     One& one = *balancers_[static_cast<size_t>(balancer)];
     Request r;
-    r.id = static_cast<RequestId>(++asked);
+    r.id = ++last_id_;
     r.request_class = static_cast<int>(r.id % work_.size());
+    r.tenant = settings.tenants.empty() ? 0 : static_cast<int>(random_() % settings.tenants.size());
     const auto cls = static_cast<size_t>(r.request_class);
     r.give_up_at = now + settings.classes[cls].deadline;
     const double size = std::uniform_real_distribution<double>(0.5, 1.5)(random_);
-    one.held[r.id] = {size * static_cast<double>(work_[cls]), r.give_up_at, 0};
+    One::Asked& query = one.held[r.id];
+    query = {size * static_cast<double>(work_[cls]), now, r.give_up_at, r.request_class, r.tenant, 0};
+    for (Tally* tally : Tallies(query)) tally->asked += 1;
     one.module.OnRequest(now, r, one);
   }
   void Send(One& one, RequestId id, BackendId backend, Micros timeout) {
@@ -239,7 +274,7 @@
     result.closed = result.outcome == Outcome::kOk;
     At(at, [this, &one, result] {
       if (one.gone) return;
-      if (result.closed) served += static_cast<long>(one.held.erase(result.id));
+      if (result.closed) Answered(one, result.id);
       one.module.OnResult(now, result, one);
     });
   }
@@ -259,6 +294,8 @@
   std::vector<double> weights_;
   std::priority_queue<Due> due_;
   long orders_ = 0;
+  RequestId last_id_ = 0;
+  Micros counted_from_ = 0;
 };
 
 }  // namespace meadowslip
