Tests: the stream that pours tells of its end as streams do now

Stream::Ended() came with the front's mends while the attempts' double for a stream was written beside it; without the method the merged tests did not compile. It says that no end was heard, as the double never ends.

--- a/tests/attempts/attempts_test.cpp
+++ b/tests/attempts/attempts_test.cpp
@@ -250,6 +250,7 @@
     return Io::kSome;
   }
   bool Quiet() override { return false; }
+  bool Ended() override { return false; }
   void Finish() override {}
   void Reset() override {}
   void Close() override {}
