Dispatch: nothing is sent for a client whose end was heard in the same turn

Seen: where what frees a place and the end of the client that waits for it are heard in one turn, the module's turn may come before the link's, and the query was sent on for a client known to be gone (dispatcher.cpp, Send(), which looked at what the link had said and not at what was heard). Ruled out: ends heard a turn earlier, which the link tells. The asker is now asked: such an attempt is moot.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -316,7 +316,9 @@
   const Micros longest =
       std::min(std::max(settings_.drain_grace, kLeastGrace) / 2, settings_.drain_grace + kOnSockets);
   const bool unheard = attempt.sent_at - scheduler_.heard_at() > longest;
-  if (query.closed || unheard || !upstream_.Knows(backend) || n >= settings_.max_attempts ||
+  // Guards against an attempt for a client whose end was heard in this turn: its link has not had its own yet.
+  const bool gone = query.asked.asker != nullptr && query.asked.asker->Gone();
+  if (query.closed || unheard || gone || !upstream_.Knows(backend) || n >= settings_.max_attempts ||
       until <= attempt.sent_at) {
     attempt.ended = true;
     return Post(id, n, ServerAnswer());
--- a/src/dispatch/query.h
+++ b/src/dispatch/query.h
@@ -20,6 +20,8 @@
   virtual void Serve(const Payload& answer) = 0;
   virtual void Throttle(Micros retry_after) = 0;  // 0: it may come back at any time
   virtual void Fail() = 0;
+  // Word has come that it left, also where it has not said so yet.
+  virtual bool Gone() const = 0;
 
  protected:
   ~Asker() = default;
--- a/src/front/client_link.h
+++ b/src/front/client_link.h
@@ -34,6 +34,7 @@
   void Serve(const Payload& answer) override;
   void Throttle(Micros retry_after) override;
   void Fail() override;
+  bool Gone() const override { return stream_->Ended(); }
 
   // Open, with no query at hand since then or before.
   bool IdleSince(Micros then) const {
--- a/tests/attempts/attempts_test.cpp
+++ b/tests/attempts/attempts_test.cpp
@@ -197,9 +197,46 @@
   void Serve(const Payload&) override { ++told; }
   void Throttle(Micros) override { ++told; }
   void Fail() override { ++told; }
+  bool Gone() const override { return gone; }
   int told = 0;
+  bool gone = false;
 };
 
+// What frees a place and the end of who waits for it may be heard in one turn, in this order.
+TEST_F(Attempts, NothingIsSentForAClientWhoseEndWasHeardInTheSameTurn) {
+  settings.classes = {
+      {.idempotency = meadowslip::Idempotency::kUnsafe, .aim = 5 * kSecond, .deadline = 10 * kSecond}};
+  List(BackendState::kDraining, 0);
+  Dispatcher dispatcher(
+      world.scheduler, settings, 1, Up(), [] {}, counters);
+  dispatcher.OnList(hosts.AsItStands());
+  dispatcher.Start();
+  Waiting stays, leaves;
+  Play([&]() -> Task<> {
+    co_await Until(Now() + kMs);  // the world is heard of
+    const auto ask = [&](Waiting& asker) {
+      Asked asked;
+      asked.request.give_up_at = Now() + 10 * kSecond;
+      HttpMessage message;
+      message.method = "POST";
+      message.target = "/open";
+      asked.payload = std::make_unique<HttpPayload>(std::move(message));
+      asked.asker = &asker;
+      return dispatcher.Take(std::move(asked));
+    };
+    const meadowslip::RequestId id = ask(leaves);
+    EXPECT_EQ(counters.sent, 0u);
+    leaves.gone = true;
+    List(BackendState::kReady, 0);
+    dispatcher.OnList(hosts.AsItStands());
+    EXPECT_EQ(counters.sent, 0u);
+    dispatcher.Left(id);
+    ask(stays);
+    co_await Until(Now() + 10 * kMs);
+    EXPECT_EQ(counters.sent, 1u);  // the place is there for others
+  });
+}
+
 // Where the settings allow no cancel, the module lets an attempt run on; one that was not begun is not begun.
 TEST_F(Attempts, NothingIsWrittenForAClientThatLeftWhileTheConnectionCameUp) {
   settings.classes = {
