--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -316,7 +316,8 @@
   const Micros longest =
       std::min(std::max(settings_.drain_grace, kLeastGrace) / 2, settings_.drain_grace + kOnSockets);
   const bool unheard = attempt.sent_at - scheduler_.heard_at() > longest;
-  // Guards against an attempt for a client whose end was heard in this turn: its link has not had its own yet.
+  // Guards against an attempt for a client whose end was heard in this turn: its link may not have had its
+  // own.
   const bool gone = query.asked.asker != nullptr && query.asked.asker->Gone();
   if (query.closed || unheard || gone || !upstream_.Knows(backend) || n >= settings_.max_attempts ||
       until <= attempt.sent_at) {
