Upstream: links rest for the server that speaks out of turn alone

Lines: http_upstream.cpp, NoteUnasked() at an answer with more than belongs to it, whose link is not kept anyway, and one time for all servers in idle_record. Now only what comes late, and of that server.

--- a/src/upstream/http_upstream.cpp
+++ b/src/upstream/http_upstream.cpp
@@ -23,6 +23,10 @@
 
 // From a chunked answer's first bytes until it is passed on, if it has not come whole by then.
 constexpr Micros kGoOn = 100 * kMs;
+// A second answer comes some milliseconds after the first: so long links of a server that gave one rest,
+// until it has given none for a while.
+constexpr Micros kRest = 50 * kMs;
+constexpr Micros kUnaskedRemembered = 600 * kSecond;
 // A server that takes or gives nothing of a message for so long has given up on it.
 constexpr Micros kStreamPatience = 10 * kSecond;
 
@@ -274,7 +278,7 @@
   if (parsed != Parsed::kDone) co_return answer;
   auto message = std::make_unique<HttpPayload>(parser.Take());
   answer.outcome = ToOutcome(*message);
-  if (!in.empty()) NoteUnasked();
+  if (!in.empty()) ++counters_.unasked;
   if (message->keep_alive && in.empty()) Keep(host, std::move(link));
   if (answer.outcome == Outcome::kOk) answer.payload = std::move(message);
   co_return answer;
@@ -284,9 +288,7 @@
   Idle& idle = idle_[host.id];
   for (auto at = idle.end(); at != idle.begin();) {
     --at;
-    // Guards against a second answer, which would be taken for that to the next query: nothing tells them
-    // apart.
-    if (!idle_record_.Rested(scheduler_.Now() - (*at)->idle_since, scheduler_.Now())) continue;
+    if (!Rested(host, **at)) continue;
     std::unique_ptr<Link> link = std::move(*at);
     at = idle.erase(at);
     if (Usable(host, *link)) return link;
@@ -300,13 +302,18 @@
   if (link.era != host.era || idle >= keep_for_ || !idle_record_.Usable(idle, now)) return false;
   if (link.stream->Quiet()) return true;
   std::string in;
-  if (link.stream->Read(in) == Io::kSome) NoteUnasked();
+  if (link.stream->Read(in) == Io::kSome) {
+    ++counters_.unasked;
+    unasked_at_[host.id] = now;
+  }
   return false;
 }
 
-void HttpUpstream::NoteUnasked() {
-  ++counters_.unasked;
-  idle_record_.NoteUnasked(scheduler_.Now());
+// Guards against a server's second answer, which would be taken for that to the next query: nothing tells
+// them apart. A server that gave none of late is not waited for.
+bool HttpUpstream::Rested(const Host& host, const Link& link) const {
+  const auto at = unasked_at_.find(host.id);
+  return at == unasked_at_.end() || scheduler_.Now() - link.idle_since >= kRest;
 }
 
 void HttpUpstream::Keep(const Host& host, std::unique_ptr<Link> link) {
@@ -316,6 +323,9 @@
 }
 
 void HttpUpstream::Retire() {
+  std::erase_if(unasked_at_, [now = scheduler_.Now()](const auto& one) {
+    return now - one.second > kUnaskedRemembered;  // also of hosts that are gone
+  });
   std::erase_if(idle_, [](const auto& one) { return one.second.empty(); });  // of hosts that may be forgotten
   for (auto& [id, idle] : idle_) {
     const Host& host = *hosts_.Find(id);
--- a/src/upstream/http_upstream.h
+++ b/src/upstream/http_upstream.h
@@ -57,7 +57,7 @@
   Task<BodySource::Next> SendRest(Stream& to, std::shared_ptr<BodySource> more);
   std::unique_ptr<Link> Reuse(const Host& host);
   bool Usable(const Host& host, const Link& link);
-  void NoteUnasked();
+  bool Rested(const Host& host, const Link& link) const;
   void Keep(const Host& host, std::unique_ptr<Link> link);
 
   Scheduler& scheduler_;
@@ -71,6 +71,8 @@
   const bool large_;
   size_t open_ = 0;
   std::unordered_map<meadowslip::BackendId, Idle> idle_;
+  std::unordered_map<meadowslip::BackendId, Micros>
+      unasked_at_;  // when a server last sent what nobody asked for
 };
 
 }  // namespace burlfall
--- a/src/upstream/idle_record.cpp
+++ b/src/upstream/idle_record.cpp
@@ -8,8 +8,6 @@
 
 constexpr Micros kFirstPlace = 16 * kMs;
 constexpr Micros kRemembered = 10 * kSecond;
-constexpr Micros kRest = 50 * kMs;  // a second answer comes some milliseconds after the first
-constexpr Micros kUnaskedRemembered = 600 * kSecond;
 constexpr int kLeastResets = 3;
 constexpr int kMostSeen = 64;
 constexpr int kBadPart = 4;  // a link is of no use where one in so many is reset
@@ -38,8 +36,4 @@
                       });
 }
 
-bool IdleRecord::Rested(Micros idle, Micros now) const {
-  return idle >= kRest || now - unasked_at_ > kUnaskedRemembered;
-}
-
 }  // namespace burlfall
--- a/src/upstream/idle_record.h
+++ b/src/upstream/idle_record.h
@@ -16,11 +16,6 @@
   void NoteUse(Micros idle, Micros now);
   void NoteReset(Micros idle) { ++seen_[Place(idle)].reset; }  // of a use that was noted
   bool Usable(Micros idle, Micros now) const;
-  // Some server has sent what nobody asked for, as a second answer is.
-  void NoteUnasked(Micros now) { unasked_at_ = now; }
-  // Whether such a second answer would have come by now. Where none was seen of late there is none to wait
-  // for.
-  bool Rested(Micros idle, Micros now) const;
 
  private:
   struct Seen {
@@ -29,7 +24,6 @@
     Micros since = 0;
   };
   static size_t Place(Micros idle);
-  Micros unasked_at_ = 0;
   std::array<Seen, 12> seen_{};  // each for twice the time of the one before
 };
 
