--- a/tests/histories/stall_test.cpp
+++ b/tests/histories/stall_test.cpp
@@ -28,6 +28,7 @@
   void Serve(const Payload&) override { ++told; }
   void Throttle(Micros) override { ++told; }
   void Fail() override { ++told; }
+  bool Gone() const override { return false; }
   int told = 0;
 };
 
