--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -6,10 +6,11 @@
 #include <map>
 #include <utility>
 
+#include "serve/paths.h"
+
 namespace burlfall {
 namespace {
 
-constexpr char kOwnFolder[] = "$TMPDIR";  // of the saved list: where the configuration says
 // After the word to end, connections still come for up to 0.4 s; they would be refused without a listener. A
 // little longer does no harm where the platform waits: it does for the longest deadline, or 3 s where that is
 // longer, and 0.7 s. What it finds unanswered then is lost.
@@ -27,9 +28,8 @@
 constexpr Micros kAsideThinAfter = 600 * kMs;
 constexpr Micros kAsideStep = 50 * kMs;
 
-constexpr Micros kPassStep = 10 * kMs;        // between two looks at links that found no room to go over
-constexpr Micros kTellUseEvery = 100 * kMs;   // of descriptors and memory, to the heir
-constexpr Micros kClocksApart = 1 * kSecond;  // of two processes; beyond it times say nothing
+constexpr Micros kPassStep = 10 * kMs;       // between two looks at links that found no room to go over
+constexpr Micros kTellUseEvery = 100 * kMs;  // of descriptors and memory, to the heir
 
 // Connections that operators may hold at a time: of few descriptors few.
 constexpr size_t kLeastCalls = 8, kMostCalls = 32, kCallsPart = 16;
@@ -51,24 +51,6 @@
   return std::min(LongestDeadline(settings), kMostWaitedFor) + kKilledAfter - kBeforeKill;
 }
 
-// Several balancers may share the folder, by different names.
-std::string PathFor(const Config& config, const std::string& folder, const char* what) {
-  std::string name = config.name;
-  std::replace_if(
-      name.begin(), name.end(), [](char c) { return c == '/' || (c >= 0 && c <= ' '); }, '_');
-  return folder + "/burlfall-" + name + what;
-}
-
-// A folder as the operators' files name it; empty: none.
-const std::string& Named(const Config& config, const std::string& folder) {
-  return folder == kOwnFolder ? config.folder : folder;
-}
-
-// Of the nodes that are out; empty: nowhere.
-std::string OutPath(const Config& config) {
-  return config.folder.empty() || config.admin.length == 0 ? "" : PathFor(config, config.folder, ".out");
-}
-
 start::AskRules AskRulesFor(const StartSettings& start, const Config& config) {
   const meadowslip::Settings& settings = config.settings;
   start::AskRules rules;
@@ -138,7 +120,7 @@
 // door.
 void Program::Join() {
   if (council_settings_) {
-    const std::string& place = Named(config_, council_settings_->folder);
+    const std::string& place = NamedFolder(config_, council_settings_->folder);
     council_ = std::make_unique<Council>(
         machine_, *council_settings_,
         Council::Setup{config_.name, PathFor(config_, place, ""), place, [this] { return SightsNow(); }},
@@ -149,7 +131,7 @@
   const ClusterSettings& cluster = *cluster_;
   ClusterMember::Setup setup;
   setup.name = config_.name;
-  const std::string& folder = Named(config_, cluster.folder);
+  const std::string& folder = NamedFolder(config_, cluster.folder);
   if (!folder.empty()) setup.socket = PathFor(config_, folder, ".cluster");
   setup.facts = [this, zone = cluster.zone] {
     cluster::Facts facts = FactsNow();
@@ -297,385 +279,6 @@
   ReadOut();
 }
 
-// ---- The list from start to start ------------------------------------------------------------------------
-
-std::string Program::KeptPath(const char* what) const {
-  return PathFor(config_, Named(config_, start_.saved_list.folder), what);
-}
-
-std::string Program::ListPath(int file) const { return KeptPath(file == 0 ? ".list.0" : ".list.1"); }
-
-// Further writes count on from what is found, whether it is used or not: the newer of two files is told by
-// that.
-start::SavedChoice Program::FindSavedList() {
-  std::vector<start::SavedFile> files;
-  for (const int file : {0, 1}) {
-    std::optional<std::string> text = machine_.files().Read(ListPath(file));
-    if (text) files.push_back({ListPath(file), std::move(*text)});
-  }
-  start::SavedChoice choice = start::ChooseSavedList(
-      files, start::SiteOf(start_.saved_list.site, config_.settings), machine_.WallClock(),
-      static_cast<Micros>(start_.saved_list.oldest_s * static_cast<double>(kSecond)));
-  keeper_->Found(choice.last_number);
-  return choice;
-}
-
-// What the configuration came with may be older, or nothing.
-bool Program::UseSavedList() {
-  if (!keeper_) return false;
-  const start::SavedChoice choice = FindSavedList();
-  for (const auto& [path, why] : choice.refused) log_.Tell<"saved_list_refused">(path, why);
-  if (!choice.list) return false;
-  if (choice.list->version < config_.known.version && !config_.known.hosts.empty()) return false;
-  HostList list;
-  list.version = choice.list->version;
-  list.full = true;
-  for (const start::SavedNode& node : choice.list->nodes) {
-    HostEntry& entry = list.hosts.emplace_back();
-    entry.name = node.name;
-    entry.address = ParseAddress(node.address);
-    entry.entry.state = node.state;
-    entry.entry.zone = node.zone;
-    entry.entry.cell = node.cell;
-    entry.entry.kind = node.kind;
-    entry.entry.started_at = node.started_at;
-    entry.entry.size = node.size;
-  }
-  hosts_.Take(list, machine_.Now());
-  log_.Tell<"saved_list_used">(list.hosts.size(), list.version, choice.age / kMs);
-  return true;
-}
-
-void Program::KeepList() {
-  if (!keeper_ || !keeper_->Due(machine_.Now())) return;
-  start::SavedList list;
-  list.site = start::SiteOf(start_.saved_list.site, config_.settings);
-  list.version = hosts_.version();
-  list.heard_at = heard_at_;
-  list.number = keeper_->NextNumber();
-  for (const HostRecord& host : hosts_.Records()) {
-    if (host.listed == meadowslip::BackendState::kGone) continue;
-    list.nodes.push_back({host.name, host.address, host.listed, std::max(0, host.zone),
-                          std::max(0, host.cell), std::max(0, host.kind), host.started_at, host.size});
-  }
-  const std::string path = ListPath(keeper_->NextFile());
-  std::string why;
-  const bool done = list.nodes.empty() || machine_.files().Replace(path, start::WriteSavedList(list), why);
-  keeper_->Wrote(machine_.Now(), done);
-  if (!done && !std::exchange(list_file_bad_, true)) log_.Tell<"saved_list_error">(path, why);
-  if (done) list_file_bad_ = false;
-}
-
-int Program::BeganBefore() {
-  if (start_.saved_list.folder.empty()) return 0;
-  const std::string path = KeptPath(".starts");
-  start::StartBook book(machine_.files().Read(path).value_or(""));
-  const Micros wall = machine_.WallClock();
-  const int before = book.Within(asking_->loop_span(), wall);
-  book.Add(wall);
-  std::string why;
-  if (!machine_.files().Replace(path, book.Text(), why) && !std::exchange(list_file_bad_, true)) {
-    log_.Tell<"saved_list_error">(path, why);
-  }
-  if (before > 0) log_.Tell<"start_again">(before, asking_->loop_span() / kMs);
-  return before;
-}
-
-// Where the start stands, whenever that changes.
-void Program::TellStart() {
-  if (!asking_ || asking_->phase() == told_phase_) return;
-  told_phase_ = asking_->phase();
-  const Micros now = machine_.Now();
-  log_.Tell<"start_phase">(start::NameOf(told_phase_), (now - began_at_) / kMs,
-                           std::max<Micros>(0, asking_->next_at() - now) / kMs, asking_->window() / kMs,
-                           counters_.list_calls);
-}
-
-// Where another left off. False where nothing of it can be used.
-bool Program::TakeOver(const Estate& estate) {
-  if (!hosts_.TakeOver(estate.hosts, estate.list)) {
-    log_.Tell<"handover_refused">("nodes that can't be");
-    return false;
-  }
-  if (keeper_) FindSavedList();
-  list_log_.emplace(machine_.scheduler(), hosts_, log_);
-  log_.Tell<"taken_over">(estate.hosts.size(), hosts_.Out().size(), estate.carried.queries.size());
-  std::string why;
-  if (estate.settings != config_.settings_json) {
-    why = "other settings";
-  } else if (std::abs(machine_.Now() - estate.carried.now) > kClocksApart) {
-    why = "a clock that differs";
-  } else if (!dispatcher_.TakeOver(estate.carried)) {
-    why = "a state of another format";
-  }
-  if (!why.empty()) log_.Tell<"state_refused">(why);
-  // The process before may have found no room to say who is out.
-  const std::string path = OutPath(config_);
-  const std::optional<std::string> text = path.empty() ? std::nullopt : machine_.files().Read(path);
-  out_kept_ = path.empty() || (text ? *text == WriteOutFile(hosts_.Out()) : hosts_.Out().empty());
-  return true;
-}
-
-// ---- What operators tell it ------------------------------------------------------------------------------
-
-// Those that were out when an earlier process ended are out still.
-void Program::ReadOut() {
-  const std::string path = OutPath(config_);
-  if (path.empty()) return;
-  const std::optional<std::string> text = machine_.files().Read(path);
-  if (!text) return;  // none was ever out
-  const std::optional<std::vector<OutHost>> out = ReadOutFile(*text);
-  if (!out) {
-    log_.Tell<"out_file_refused">(path);
-    return;
-  }
-  if (out->empty()) return;
-  for (const OutHost& host : *out) hosts_.TakeOutUnseen(host.name, host.since);
-  log_.Tell<"nodes_kept_out">(out->size());
-}
-
-// Nothing to keep it in is no failure: it then holds as long as this process.
-bool Program::KeepOut(const std::vector<OutHost>& out) {
-  const std::string path = OutPath(config_);
-  std::string why;
-  if (path.empty() || machine_.files().Replace(path, WriteOutFile(out), why)) return out_kept_ = true;
-  log_.Tell<"out_file_error">(path, why);
-  return false;
-}
-
-// A node was put back and the file could not say so: guards it from being out again after the next start.
-void Program::KeepOutLate() {
-  const std::string path = OutPath(config_);
-  std::string why;
-  if (out_kept_ || !machine_.files().Replace(path, WriteOutFile(hosts_.Out()), why)) return;
-  out_kept_ = true;
-  log_.Tell<"out_file_written">(path);
-}
-
-void Program::HostsChanged() {
-  upstream_.Retire();
-  dispatcher_.OnList(hosts_.AsItStands());
-}
-
-Verdict Program::TakeOut(std::string_view server) {
-  if (phase_ == Phase::kStarting) return Verdict::kNotNow;
-  if (hosts_.IsOut(server)) return Verdict::kDone;  // one ban, since the first call
-  if (!hosts_.Names(server)) return Verdict::kUnknown;
-  std::vector<OutHost> out = hosts_.Out();
-  const Micros now = machine_.Now();
-  out.push_back({std::string(server), now});
-  if (!KeepOut(out)) return Verdict::kFailed;
-  hosts_.TakeOut(server, now);
-  HostsChanged();
-  if (handover_) handover_->TellOut({std::string(server), now});
-  log_.Tell<"node_out">(server, out.size());
-  return Verdict::kDone;
-}
-
-Verdict Program::PutBack(std::string_view server) {
-  if (phase_ == Phase::kStarting) return Verdict::kNotNow;
-  if (!hosts_.Names(server)) return Verdict::kUnknown;
-  if (!hosts_.IsOut(server)) return Verdict::kDone;
-  std::vector<OutHost> out = hosts_.Out();
-  std::erase_if(out, [&](const OutHost& h) { return h.name == server; });
-  out_kept_ = KeepOut(out);  // a full disk must not keep a sound node out
-  const Micros now = machine_.Now();
-  hosts_.PutBack(server, now);
-  HostsChanged();
-  if (handover_) handover_->TellBack({std::string(server), now});
-  log_.Tell<"node_back">(server, out.size());
-  return Verdict::kDone;
-}
-
-Verdict Program::StandAside() {
-  if (phase_ == Phase::kStarting) return Verdict::kNotNow;
-  SetAside(true);
-  if (handover_ && (Serving() || phase_ == Phase::kHandedOver)) handover_->TellDrain(true);
-  return Verdict::kDone;  // one that ends drains too
-}
-
-Verdict Program::ComeBack() {
-  SetAside(false);
-  if (handover_ && (Serving() || phase_ == Phase::kHandedOver)) handover_->TellDrain(false);
-  return phase_ == Phase::kServing || phase_ == Phase::kHandedOver ? Verdict::kDone : Verdict::kNotNow;
-}
-
-// Without a council each balancer decides by itself.
-Task<Leave> Program::MayBegin(ChangeCall call) {
-  using What = ChangeCall::What;
-  if (!council_ || phase_ == Phase::kStarting) co_return Leave();
-  freeze::Scope scope = freeze::Scope::Balancer(config_.name, cluster_ ? cluster_->zone : "");
-  freeze::ChangeKind kind =
-      call.what == What::kStandAside ? freeze::ChangeKind::kDrain : freeze::ChangeKind::kUndrain;
-  if (call.what == What::kTakeOut || call.what == What::kPutBack) {
-    const bool out = call.what == What::kTakeOut;
-    // What is so already, or can't be, changes nothing.
-    if (!hosts_.Names(call.server) || hosts_.IsOut(call.server) == out) co_return Leave();
-    kind = out ? freeze::ChangeKind::kNodeOut : freeze::ChangeKind::kNodeBack;
-    scope = freeze::Scope::Node(call.server, "", "");
-    for (const HostRecord& host : hosts_.Records()) {
-      if (host.name != call.server) continue;
-      scope = freeze::Scope::Node(call.server, std::to_string(host.zone), std::to_string(host.kind));
-    }
-  } else if ((phase_ == Phase::kAside) == (call.what == What::kStandAside)) {
-    co_return Leave();
-  }
-  co_return co_await Leaving(kind, scope, std::move(call.by), std::move(call.reason));
-}
-
-Task<Leave> Program::MayReload() {
-  if (!council_) co_return Leave();
-  co_return co_await Leaving(freeze::ChangeKind::kReload,
-                             freeze::Scope::Balancer(config_.name, cluster_ ? cluster_->zone : ""), "", "");
-}
-
-Task<Leave> Program::Leaving(freeze::ChangeKind kind, freeze::Scope scope, std::string by,
-                             std::string reason) {
-  const Council::Permission permission =
-      co_await council_->Ask(kind, std::move(scope), std::move(by), std::move(reason));
-  Leave leave;
-  leave.granted = permission.error == owner::Error::kNone;
-  leave.change = permission.change;
-  leave.epoch = permission.epoch;
-  leave.retry = permission.retry;
-  if (leave.granted) co_return leave;
-  leave.why = std::string(owner::NameOf(permission.error)) + ": " + owner::WhatToDo(permission.error);
-  if (!permission.text.empty()) leave.why += " " + permission.text;
-  if (permission.retry > 0)
-    leave.why += "; ask again in " + std::to_string(permission.retry / kSecond) + " s";
-  co_return leave;
-}
-
-Task<> Program::Ended(Leave leave) {
-  if (!council_ || leave.change == 0) co_return;
-  Council::Permission permission;
-  permission.change = leave.change;
-  permission.epoch = leave.epoch;
-  co_await council_->Done(permission);
-}
-
-// One that has handed over keeps it for the case that it takes the door back.
-void Program::SetAside(bool aside) {
-  Phase& phase = phase_ == Phase::kHandedOver ? before_hand_on_ : phase_;
-  if (phase != (aside ? Phase::kServing : Phase::kAside)) return;
-  phase = aside ? Phase::kAside : Phase::kServing;
-  if (aside) {
-    aside_since_ = machine_.Now();
-    log_.Tell<"drained">(front_.open());
-    front_.StandAside();
-  } else {
-    log_.Tell<"back_to_work">((machine_.Now() - aside_since_) / kMs);
-    front_.ComeBack();
-  }
-  moved_.Notify();
-}
-
-// ---- The hand-over ---------------------------------------------------------------------------------------
-
-std::optional<Estate> Program::GiveUpDoor(std::string& why) {
-  std::optional<Estate> estate;
-  if (!Serving() && phase_ != Phase::kDraining) {
-    why = "a claim to a process that does not serve";
-    return estate;
-  }
-  front_.Shut();
-  estate.emplace();
-  estate->settings = config_.settings_json;
-  estate->aside = phase_ == Phase::kAside;
-  estate->aside_since = aside_since_;
-  estate->list = hosts_.version();
-  estate->hosts = hosts_.Records();
-  estate->carried = dispatcher_.Carry();
-  return estate;
-}
-
-void Program::KeepDoor() {
-  if (!Serving() && phase_ != Phase::kDraining) return;
-  if (front_.Reopen()) log_.Tell<"door_kept">();  // an heir that came no further may be told of twice
-}
-
-void Program::HandOn() {
-  // One that closes goes on closing. Guards against taking back a door that it has not any more.
-  if (phase_ != Phase::kClosing) {
-    before_hand_on_ = phase_;
-    phase_ = Phase::kHandedOver;
-  }
-  log_.Tell<"handed_over">(front_.open(), dispatcher_.open());
-  front_.Shut();
-  member_.reset();  // without a word: the heir goes on in its place, and nobody misses it
-  if (council_) {   // likewise; its disk and its address are the heir's
-    council_->Shut();
-    councils_before_.push_back(std::move(council_));
-  }
-  hosts_.LeaveCold(true, machine_.Now());
-  HostsChanged();
-  upstream_.RetireAll();
-  TellUse();
-  front_.PassOn([this](Stream& stream, const QuietLink& link) {
-    const Io passed = handover_->Pass(stream, {link.asked, link.began, link.read});
-    heir_takes_ = passed != Io::kLater;
-    return passed;
-  });
-  moved_.Notify();
-}
-
-void Program::HeirTold() { moved_.Notify(); }
-
-void Program::TakeBack() {
-  if (phase_ != Phase::kHandedOver) return;
-  log_.Tell<"taken_back">(handover_->links_lost());
-  phase_ = before_hand_on_;
-  front_.PassOn(nullptr);
-  front_.Reopen();
-  Join();
-  hosts_.LeaveCold(false, machine_.Now());
-  HostsChanged();
-  if (told_to_end_at_) Drain();
-  moved_.Notify();
-}
-
-void Program::LastOwner() {
-  if (phase_ != Phase::kHandedOver) return;
-  phase_ = Phase::kClosing;
-  front_.PassOn(nullptr);
-  moved_.Notify();
-}
-
-void Program::TakeLink(std::unique_ptr<Stream> stream, PassedLink link) {
-  front_.Take(std::move(stream), {link.asked, link.began, std::move(link.read)});
-}
-
-void Program::OtherUses(const Use& use) {
-  const bool first = other_.descriptors == 0 && use.descriptors > 0;
-  other_ = use;
-  Allow();
-  if (!first) return;
-  log_.Tell<"two_processes">(use.descriptors, use.memory_kb, budget_.open() + LinkBudget::kSpare,
-                             machine_.ResidentBytes() / 1024, descriptors());
-}
-
-void Program::TellUse() {
-  handover_->TellUse({budget_.open() + LinkBudget::kSpare, machine_.ResidentBytes() / 1024});
-}
-
-// Said on: a third process may be about. It ends where it is known.
-void Program::OtherTookOut(const NodeCall& call) {
-  if (hosts_.IsOut(call.name) || !hosts_.TakeOut(call.name, call.since)) return;
-  HostsChanged();
-  handover_->TellOut(call);
-  log_.Tell<"node_out">(call.name, hosts_.Out().size());
-}
-
-void Program::OtherPutBack(const NodeCall& call) {
-  if (!hosts_.IsOut(call.name)) return;
-  hosts_.PutBack(call.name, call.since);
-  HostsChanged();
-  handover_->TellBack(call);
-  log_.Tell<"node_back">(call.name, hosts_.Out().size());
-}
-
-void Program::OtherDrains(bool drains) { SetAside(drains); }
-
 // ---- The rest --------------------------------------------------------------------------------------------
 
 void Program::Take(const HostList* list, const std::string& why) {
