--- a/tests/config/platform_test.cpp
+++ b/tests/config/platform_test.cpp
@@ -196,6 +196,20 @@
   EXPECT_EQ(ListComplaint(R"(,"kind":["a"])"), "host list: kind: expected a text, found [\"a\"]");
 }
 
+// Fails (F56): all zones that the settings don't name share one number, and so one group within which a keyed
+// request may be repeated. A node of zone "y" does not know what one of zone "x" has run.
+TEST(PlatformList, ZonesThatTheSettingsDontNameAreNoCommonGroup) {
+  meadowslip::Settings settings;
+  settings.zones = {"a", "b"};
+  const auto node = [](const std::string& id, const std::string& zone) {
+    return R"({"id":")" + id + R"(","state":"Ready","addr":"10.1.0.1:9","zone":")" + zone + "\"}";
+  };
+  const HostList list = ParseHostList(
+      R"({"version":1,"full":true,"servers":[)" + node("s-1", "x") + "," + node("s-2", "y") + "]}", settings);
+  ASSERT_EQ(list.hosts.size(), 2u);
+  EXPECT_NE(list.hosts[0].entry.zone, list.hosts[1].entry.zone);
+}
+
 TEST(PlatformSettings, CountsAreWholeAndSharesAreShares) {
   for (const char* key : {"Balancers", "SlotNo", "MyZone"}) {
     EXPECT_EQ(SettingsComplaint(std::string("{\"") + key + "\":2.5}")
--- a/tests/stories/stories_test.cpp
+++ b/tests/stories/stories_test.cpp
@@ -505,4 +505,35 @@
   CHECK(Program(good, {}).Wait() == 2);
 }
 
+// Fails (F57): /up says yes, so the platform sends clients here, while every request of theirs is refused: no
+// node is known, and the list service has not answered yet.
+TEST_CASE("a balancer that knows no node yet and refuses all does not say that it is up") {
+  Peer discovery;
+  Program program(ConfigText({.discovery = discovery.port}));
+  Link client = Link::To(program.port);
+  client.Write(Get("t1"));
+  REQUIRE(client.Read().starts_with("HTTP/1.1 503"));
+  Link up = Link::To(program.port);
+  up.Write("GET /up HTTP/1.1\r\n\r\n");
+  CHECK(up.Read().starts_with("HTTP/1.1 503"));
+}
+
+// Fails (F53): an attempt that is given up is closed in order, so what the system still holds of its request
+// goes on to the node, which then has it whole and runs it for nobody.
+TEST_CASE("what is given up does not reach its node whole afterwards") {
+  Peer server;
+  const int small = 2048;  // bytes that the node's system takes before the node reads: the rest waits here
+  REQUIRE(setsockopt(server.fd(), SOL_SOCKET, SO_RCVBUF, &small, sizeof small) == 0);
+  Program program(ConfigText({.known = Entry("s-1", server.port)}));
+  const long before = program.Descriptors();
+  const std::string request = Post("open", "t1", std::string(40000, 'x'));
+  Link client = Link::To(program.port);
+  client.Write(request);
+  Link at_work = server.Accept();
+  client.Close();
+  for (int i = 0; i < kPatience * 100 && program.Descriptors() > before; ++i) poll(nullptr, 0, 10);
+  REQUIRE(program.Descriptors() <= before);  // both connections are given up
+  CHECK_FALSE(at_work.Read().ends_with(std::string(40000, 'x')));
+}
+
 }  // namespace burlfall
