--- a/tests/module/cold_test.cpp
+++ b/tests/module/cold_test.cpp
@@ -343,8 +343,7 @@
 });
 
 // Fails (F55): what a node carries for its start is reckoned as that of one core of the others' speed. At
-// half of it 29 requests of mean work where it bears 28.5, and 12.2 where it bears 12.1, one seed of four
-// each.
+// half of it 29 requests of mean work where it bears 28.5, one seed of four.
 TEST(ColdShortAimsAtHalfSpeed, ANodeIsNotPushedOver) {
   for (const Figures* figures : {&kFour, &kThree, &kTwo}) PlayShort("OfHalfTheOthersSpeed", *figures, 30, 12);
 }
