--- a/src/handover/estate.h
+++ b/src/handover/estate.h
@@ -4,8 +4,8 @@
 // A message is a packet: a letter, then what the letter says. Protocol version 1.
 //
 //   new to old   T  a claim: version, name
-//                S  the door is open; then the letters of what else this process answers (none in earlier
-//                versions) K  in answer to C: how many links it has taken
+//                S  the door is open; then the letters of what else it answers, none in earlier versions
+//                K  in answer to C: how many links it has taken
 //   old to new   N  no: why, in plain words
 //                E  a piece of the estate; the last, which may be empty, is Z
 //                L  a link goes along: whether it has asked before, and what was read of its next query
--- a/tests/module/cold_test.cpp
+++ b/tests/module/cold_test.cpp
@@ -308,7 +308,7 @@
 // of what was sent showed why nothing was learned: a cold node answers none of these within the aim, it turns
 // them away or has less than that left of the client's time; and an answer elsewhere moved the guess by a
 // twentieth. Now one request at a time goes to cold nodes from classes that are unknown, each without an
-// answer doubles what all of them are taken for, and the first answers count as they are.
+// answer raises fourfold what all of them are taken for, and the first answers count as they are.
 class ColdShortAims : public testing::TestWithParam<const Figures*> {};
 
 void PlayShort(const std::string& name, const Figures& figures, int balancers, int nodes) {
