Upstream: every link rests before its next query, so no answer goes to another's client

Cause: RunAttempt() pooled a link as soon as its answer was whole, and TakeIdleLink() took the one used last, at once. Only servers that had been seen to send a second answer had their links rest; the first copy that crossed a query was taken for its answer, and the link stayed one answer behind.

Change: a link is reused only after it has been idle and silent for 50 ms, for all servers; the memory of servers is gone. Answers, errors, refusals and streamed answers share the pool.

Regression tests, red on the code before and green now: Attempts.SecondAnswerThatCrossesTheNextQueryIsNotTakenForItsAnswer (four kinds of answer, five idle times), Attempts.SecondAnswerAfterAStreamedOneIsNotTakenForTheNextQuerysAnswer; Attempts.LinksAreReusedOnceTheyHaveBeenQuiet states the new rule.

--- a/src/upstream/http_upstream.cpp
+++ b/src/upstream/http_upstream.cpp
@@ -23,10 +23,11 @@
 
 // A chunked answer that is incomplete this long after its first bytes is streamed to the client.
 constexpr Micros kStreamingDelay = 100 * kMs;
-// A server's unsolicited second answer follows the first by some milliseconds. Links to a server that has
-// sent one are not reused for kQuietPeriod after each answer, until it has sent none for kUnsolicitedMemory.
+// A link is reused only after it has been idle for this long, with no byte received. A server's unsolicited
+// second answer follows the first by some milliseconds. On a link that carries the next query by then it
+// would be taken for that query's answer, and so would each answer for the query after it: HTTP/1.1 can't
+// tell them apart.
 constexpr Micros kQuietPeriod = 50 * kMs;
-constexpr Micros kUnsolicitedMemory = 600 * kSecond;
 // A server that does not accept the next piece of a large query within this time is given up.
 constexpr Micros kStreamStallTimeout = 10 * kSecond;
 
@@ -287,11 +288,15 @@
   co_return answer;
 }
 
+// Returns the most recently used of the links that have been idle for kQuietPeriod.
 std::unique_ptr<HttpUpstream::Link> HttpUpstream::TakeIdleLink(const Host& host) {
   IdleLinks& idle = idle_links_[host.id];
-  for (auto it = idle.end(); it != idle.begin();) {
+  const Micros quiet_since = scheduler_.Now() - kQuietPeriod;
+  auto it =
+      std::upper_bound(idle.begin(), idle.end(), quiet_since,
+                       [](Micros at, const std::unique_ptr<Link>& link) { return at < link->idle_since; });
+  while (it != idle.begin()) {
     --it;
-    if (!QuietLongEnough(host, **it)) continue;
     std::unique_ptr<Link> link = std::move(*it);
     it = idle.erase(it);
     if (Usable(host, *link)) return link;
@@ -307,21 +312,10 @@
     return false;
   if (link.stream->IsIdle()) return true;
   std::string in;
-  if (link.stream->Read(in) == Io::kSome) {
-    ++counters_.unasked;
-    unsolicited_at_[host.id] = now;
-  }
+  if (link.stream->Read(in) == Io::kSome) ++counters_.unasked;
   return false;
 }
 
-// Whether the link has been idle for kQuietPeriod, which only links to a server that recently sent an
-// unsolicited answer need. A late second answer would be taken for the answer to the next query: HTTP/1.1
-// can't tell them apart.
-bool HttpUpstream::QuietLongEnough(const Host& host, const Link& link) const {
-  const auto it = unsolicited_at_.find(host.id);
-  return it == unsolicited_at_.end() || scheduler_.Now() - link.idle_since >= kQuietPeriod;
-}
-
 void HttpUpstream::ReturnToPool(const Host& host, std::unique_ptr<Link> link) {
   if (host.state != BackendState::kReady || link->host_generation != host.incarnation) return;
   link->idle_since = scheduler_.Now();
@@ -329,9 +323,6 @@
 }
 
 void HttpUpstream::CloseStaleIdle() {
-  std::erase_if(unsolicited_at_, [now = scheduler_.Now()](const auto& entry) {
-    return now - entry.second > kUnsolicitedMemory;  // also for hosts that are gone
-  });
   std::erase_if(idle_links_,
                 [](const auto& entry) { return entry.second.empty(); });  // their hosts may be forgotten
   for (auto& [id, idle] : idle_links_) {
--- a/src/upstream/http_upstream.h
+++ b/src/upstream/http_upstream.h
@@ -39,7 +39,7 @@
   bool ReleaseIdle(size_t wanted) override;
 
  private:
-  // A server link. Idle ones wait in their host's list, the most recently used last.
+  // A server link. Idle ones wait in their host's list, in the order of `idle_since`.
   struct Link {
     Link(HttpUpstream& upstream, std::unique_ptr<Stream> to, uint64_t generation);
     Link(const Link&) = delete;
@@ -58,7 +58,6 @@
   Task<BodySource::Next> SendBodyRest(Stream& to, std::shared_ptr<BodySource> body_rest);
   std::unique_ptr<Link> TakeIdleLink(const Host& host);
   bool Usable(const Host& host, const Link& link);
-  bool QuietLongEnough(const Host& host, const Link& link) const;
   void ReturnToPool(const Host& host, std::unique_ptr<Link> link);
 
   Scheduler& scheduler_;
@@ -72,8 +71,6 @@
   const bool large_;
   size_t open_ = 0;
   std::unordered_map<meadowslip::BackendId, IdleLinks> idle_links_;
-  // When a server last sent an unsolicited answer.
-  std::unordered_map<meadowslip::BackendId, Micros> unsolicited_at_;
 };
 
 }  // namespace burlfall
--- a/tests/attempts/attempts_test.cpp
+++ b/tests/attempts/attempts_test.cpp
@@ -56,7 +56,9 @@
     ServerAnswer answer;
     bool done = false;
     Task<> task;
-    std::string Body() const { return static_cast<const HttpPayload&>(*answer.payload).body; }
+    std::string Body() const {  // empty if the attempt failed
+      return answer.payload ? static_cast<const HttpPayload&>(*answer.payload).body : "";
+    }
   };
   std::unique_ptr<PendingAttempt> Send(Micros timeout, Micros send_by = kNever, const std::string& body = "",
                                        std::shared_ptr<BodySource> body_rest = nullptr) {
@@ -358,8 +360,8 @@
   return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-// A second answer arrives shortly after the first on an idle link and, once the server is known to do so, on
-// a link that would otherwise be in use again.
+// A second answer arrives shortly after the first, before or after the next query: each is found and counted
+// by the sweep, and no query is sent on its link.
 TEST_F(Attempts, UnsolicitedSecondAnswerIsDroppedEvenIfLate) {
   RunScenario([&]() -> Task<> {
     const auto one = Send(3 * kSecond);
@@ -390,7 +392,8 @@
     co_await Until(Now() + 100 * kMs);
     EXPECT_EQ(three->Body(), "three");
     if (!third) co_return;
-    EXPECT_EQ(counters.unasked, 1u);
+    GetUpstream().CloseStaleIdle();
+    EXPECT_EQ(counters.unasked, 2u);
     const auto four = Send(3 * kSecond);  // a link that has been quiet long enough is reused
     EXPECT_FALSE(Accept());
     EXPECT_NE(Read(*third), "");
@@ -399,7 +402,102 @@
     EXPECT_EQ(four->Body(), "four");
     std::string none;
     EXPECT_EQ(third->Read(none), Io::kClosed);  // and is closed after that
-    EXPECT_EQ(counters.unasked, 2u);
+    EXPECT_EQ(counters.unasked, 3u);
+  });
+}
+
+// Guards against serving a client with the answer to another client's query: a server's first late second
+// answer, or second refusal, arrives after the next query was sent.
+TEST_F(Attempts, SecondAnswerThatCrossesTheNextQueryIsNotTakenForItsAnswer) {
+  struct Case {
+    std::string answer;
+    Outcome outcome;
+  };
+  const Case cases[] = {
+      {Ok("one"), Outcome::kOk},
+      {"HTTP/1.1 500 Error\r\nContent-Length: 3\r\n\r\none", Outcome::kError},
+      {"HTTP/1.1 503 Busy\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", Outcome::kFull},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n", Outcome::kOk}};
+  RunScenario([&]() -> Task<> {
+    for (const Case& one_case : cases) {
+      for (Micros idle_for : {Micros{0}, kMs, 4 * kMs, 12 * kMs, 45 * kMs}) {
+        upstream.reset();  // the server has sent no second answer yet
+        const auto one = Send(3 * kSecond);
+        const auto first = Accept();
+        Read(*first);
+        Write(*first, one_case.answer);
+        co_await Until(Now() + 500);
+        EXPECT_EQ(one->answer.outcome, one_case.outcome);
+        co_await Until(Now() + idle_for);
+        const auto two = Send(3 * kSecond);
+        Write(*first, one_case.answer);
+        co_await Until(Now() + 2 * kMs);
+        const auto second = Accept();
+        Stream& used = second ? *second : *first;
+        Read(used);
+        Write(used, Ok("two"));
+        co_await Until(Now() + 2 * kMs);
+        EXPECT_EQ(two->answer.outcome, Outcome::kOk) << one_case.answer << idle_for;
+        EXPECT_EQ(two->Body(), "two") << one_case.answer << idle_for;
+      }
+    }
+  });
+}
+
+// The same after an answer that was streamed to its client.
+TEST_F(Attempts, SecondAnswerAfterAStreamedOneIsNotTakenForTheNextQuerysAnswer) {
+  large = true;
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n";
+  RunScenario([&]() -> Task<> {
+    const auto one = Send(3 * kSecond);
+    const auto first = Accept();
+    Read(*first);
+    Write(*first, head);
+    co_await Until(Now() + 200 * kMs);
+    EXPECT_EQ(one->answer.outcome, Outcome::kOk);
+    if (one->answer.outcome != Outcome::kOk) co_return;
+    const auto body_rest = static_cast<const HttpPayload&>(*one->answer.payload).body_rest;
+    EXPECT_TRUE(body_rest) << "the answer is not streamed";
+    if (!body_rest) co_return;
+    Write(*first, "0\r\n\r\n");
+    co_await Until(Now() + kMs);
+    std::string body;
+    BodySource::Next next = BodySource::Next::kSome;
+    while (next == BodySource::Next::kSome) next = body_rest->Take(body);
+    EXPECT_EQ(next, BodySource::Next::kDone);
+    const auto two = Send(3 * kSecond);
+    Write(*first, head + "0\r\n\r\n");
+    co_await Until(Now() + 2 * kMs);
+    const auto second = Accept();
+    Stream& used = second ? *second : *first;
+    Read(used);
+    Write(used, Ok("two"));
+    co_await Until(Now() + 2 * kMs);
+    EXPECT_EQ(two->answer.outcome, Outcome::kOk);
+    EXPECT_EQ(two->Body(), "two");
+  });
+}
+
+// Links that have been quiet for long enough are reused, the most recently used first, and others are not.
+TEST_F(Attempts, LinksAreReusedOnceTheyHaveBeenQuiet) {
+  RunScenario([&]() -> Task<> {
+    const auto one = Send(3 * kSecond), two = Send(3 * kSecond);
+    const auto first = Accept(), second = Accept();
+    Read(*first), Read(*second);
+    Write(*first, Ok("one"));
+    co_await Until(Now() + 30 * kMs);
+    Write(*second, Ok("two"));
+    co_await Until(Now() + 30 * kMs);
+    const auto three = Send(3 * kSecond);  // the second one has been quiet for 30 ms only
+    EXPECT_NE(Read(*first), "");
+    EXPECT_EQ(Read(*second), "");
+    Write(*first, Ok("three"));
+    co_await Until(Now() + 60 * kMs);
+    EXPECT_EQ(three->Body(), "three");
+    const auto four = Send(3 * kSecond);
+    EXPECT_NE(Read(*first), "");
+    EXPECT_FALSE(Accept());
+    EXPECT_EQ(counters.server_links, 2u);
   });
 }
 
