Upstream: links rest only where a second copy of an answer could not be recognized

Change (upstream/second_answers): within 50 ms a link is reused only if a second copy of each of its answers in that time would be recognized: 200s with a body, from a server whose answers differ and which has not repeated one, nor sent a byte unasked, for ten minutes. An answer equal to one of these is not used: the attempt has failed and may have run, the link is closed. Refusals, errors, empty and streamed answers can't be recognized: their links rest. A server that answers alike is found out by its first two answers, none of its attempts fails.

--- a/src/observe/counters.h
+++ b/src/observe/counters.h
@@ -27,7 +27,7 @@
   uint64_t reset = 0;
   uint64_t cancelled = 0;
   uint64_t moot = 0;
-  uint64_t unasked = 0;  // server links closed because the server sent data after its answer
+  uint64_t unasked = 0;  // server links closed because the server sent more than its answer, or it twice
   uint64_t lists = 0;    // lists received from discovery
   uint64_t lists_failed = 0;
   uint64_t list_calls = 0;  // calls to discovery, including those of a watch
--- a/src/upstream/http_upstream.cpp
+++ b/src/upstream/http_upstream.cpp
@@ -23,11 +23,6 @@
 
 // A chunked answer that is incomplete this long after its first bytes is streamed to the client.
 constexpr Micros kStreamingDelay = 100 * kMs;
-// A link is reused only after it has been idle for this long, with no byte received. A server's unsolicited
-// second answer follows the first by some milliseconds. On a link that carries the next query by then it
-// would be taken for that query's answer, and so would each answer for the query after it: HTTP/1.1 can't
-// tell them apart.
-constexpr Micros kQuietPeriod = 50 * kMs;
 // A server that does not accept the next piece of a large query within this time is given up.
 constexpr Micros kStreamStallTimeout = 10 * kSecond;
 
@@ -95,6 +90,7 @@
       }
       if (parsed_ == Parsed::kDone) {
         result_ = Next::kDone;
+        link_->answers.Note(std::nullopt, upstream_.scheduler_.Now());
         if (keep_alive_ && received_.empty()) upstream_.ReturnToPool(*host_, std::move(link_));
       } else if (parsed_ != Parsed::kMore) {
         result_ = Next::kBroken;
@@ -280,7 +276,17 @@
     co_return answer;
   }
   if (parsed != Parsed::kDone) co_return answer;
+  const bool has_length = parser.length().has_value();
   auto message = std::make_unique<HttpPayload>(parser.Take());
+  const AnswerDigest digest = DigestOf(*message);
+  if (link->answers.Contains(digest)) {  // a second copy of an earlier answer; the link is closed
+    ++counters_.unasked;
+    server_answers_[host.id].NoteUnsolicited(scheduler_.Now());
+    co_return answer;
+  }
+  server_answers_[host.id].Note(digest, scheduler_.Now());
+  // In service a copy without a length may be passed on before it is complete, and so not be recognized.
+  link->answers.Note(has_length || !large_ ? digest : std::nullopt, scheduler_.Now());
   answer.outcome = ToOutcome(*message);
   if (!in.empty()) ++counters_.unasked;
   if (message->keep_alive && in.empty()) ReturnToPool(host, std::move(link));
@@ -288,18 +294,25 @@
   co_return answer;
 }
 
-// Returns the most recently used of the links that have been idle for kQuietPeriod.
+// Returns the most recently used link that can carry a query. Links that are not quiet yet are looked at
+// too, unless their server is suspected already: an unsolicited byte on one of them concerns all.
 std::unique_ptr<HttpUpstream::Link> HttpUpstream::TakeIdleLink(const Host& host) {
   IdleLinks& idle = idle_links_[host.id];
-  const Micros quiet_since = scheduler_.Now() - kQuietPeriod;
-  auto it =
-      std::upper_bound(idle.begin(), idle.end(), quiet_since,
-                       [](Micros at, const std::unique_ptr<Link>& link) { return at < link->idle_since; });
-  while (it != idle.begin()) {
+  const ServerAnswers& server = server_answers_[host.id];
+  const Micros now = scheduler_.Now();
+  for (auto it = idle.end(); it != idle.begin();) {
     --it;
+    const bool quiet = now - (*it)->idle_since >= kSecondAnswerWindow;
+    if (!quiet && server.Suspected(now)) continue;
+    if (!Usable(host, **it)) {
+      it = idle.erase(it);
+      continue;
+    }
+    if (!quiet && !(server.AllDiffer(now) && (*it)->answers.Recognizable(now))) continue;
     std::unique_ptr<Link> link = std::move(*it);
-    it = idle.erase(it);
-    if (Usable(host, *link)) return link;
+    idle.erase(it);
+    link->answers.Expire(now);
+    return link;
   }
   return nullptr;
 }
@@ -312,7 +325,10 @@
     return false;
   if (link.stream->IsIdle()) return true;
   std::string in;
-  if (link.stream->Read(in) == Io::kSome) ++counters_.unasked;
+  if (link.stream->Read(in) == Io::kSome) {
+    ++counters_.unasked;
+    server_answers_[host.id].NoteUnsolicited(now);
+  }
   return false;
 }
 
@@ -323,6 +339,7 @@
 }
 
 void HttpUpstream::CloseStaleIdle() {
+  std::erase_if(server_answers_, [this](const auto& entry) { return hosts_.Find(entry.first) == nullptr; });
   std::erase_if(idle_links_,
                 [](const auto& entry) { return entry.second.empty(); });  // their hosts may be forgotten
   for (auto& [id, idle] : idle_links_) {
--- a/src/upstream/http_upstream.h
+++ b/src/upstream/http_upstream.h
@@ -17,6 +17,7 @@
 #include "membership/host_group.h"
 #include "observe/counters.h"
 #include "upstream/idle_reuse_stats.h"
+#include "upstream/second_answers.h"
 #include "upstream/upstream.h"
 
 namespace burlfall {
@@ -39,7 +40,7 @@
   bool ReleaseIdle(size_t wanted) override;
 
  private:
-  // A server link. Idle ones wait in their host's list, in the order of `idle_since`.
+  // A server link. Idle ones wait in their host's list, the most recently used last.
   struct Link {
     Link(HttpUpstream& upstream, std::unique_ptr<Stream> to, uint64_t generation);
     Link(const Link&) = delete;
@@ -48,6 +49,7 @@
     std::unique_ptr<Stream> stream;
     uint64_t host_generation;
     Micros idle_since = 0;
+    RecentAnswers answers;
   };
   using IdleLinks = std::vector<std::unique_ptr<Link>>;
   class Download;
@@ -71,6 +73,7 @@
   const bool large_;
   size_t open_ = 0;
   std::unordered_map<meadowslip::BackendId, IdleLinks> idle_links_;
+  std::unordered_map<meadowslip::BackendId, ServerAnswers> server_answers_;
 };
 
 }  // namespace burlfall
