Handover: calls after the state was given away reach the successor, served yet or not

Cause: ReleaseListener() packs the state at the claim; SendAll() told a successor of calls only once it served (has_successor()). What came between was in neither. Evidence: a scripted successor that claims and does not serve received none of four calls that were answered 200, in the 10 s that the test waits for a message.

Test, red on the code before (no message) and green now: "a call that the old process accepts before its successor serves reaches the successor" (upgrade_test.cpp).

--- a/src/handover/handover.cpp
+++ b/src/handover/handover.cpp
@@ -260,9 +260,11 @@
   }
 }
 
+// A successor that has claimed the state is sent everything that changes after it, although it does not serve
+// yet: the messages follow the state in the channel, and it reads them once it serves.
 void Handover::SendAll(const std::string& message) {
   if (predecessor_) Send(*predecessor_, message);
-  if (has_successor()) Send(*successor_, message);
+  if (successor_ && successor_->claimed) Send(*successor_, message);
 }
 
 void Handover::SendTakenOut(const NodeChange& call) { SendAll(Pack('O', call)); }
--- a/src/handover/handover.h
+++ b/src/handover/handover.h
@@ -61,7 +61,7 @@
   // Links passed to a successor that disconnected without confirming them. No process serves them.
   uint64_t links_lost() const { return links_lost_; }
   void SendUse(const ResourceUse& use);
-  // Sent to the predecessor and the successor, whichever exist.
+  // Sent to the predecessor and to a successor that has claimed the state, whichever exist.
   void SendTakenOut(const NodeChange& call);
   void SendPutBack(const NodeChange& call);
   void SendDrain(bool drains);
--- a/tests/service/upgrade_test.cpp
+++ b/tests/service/upgrade_test.cpp
@@ -662,6 +662,36 @@
   CHECK(old.Wait() == 0);
 }
 
+// ---- Operators' calls while a successor takes over --------------------------------------------------------
+
+namespace {
+
+// The next message with one of these letters; empty if the channel ends or none arrives.
+std::string ReceiveOneOf(const Descriptor& channel, const std::string& letters) {
+  std::string message = ReceiveMessage(channel);
+  while (!message.empty() && letters.find(message.front()) == std::string::npos)
+    message = ReceiveMessage(channel);
+  return message;
+}
+
+}  // namespace
+
+// Guards against an operator's call that is forgotten by an upgrade: the old process answers yes after it has
+// given its state away, and before its successor serves.
+TEST_CASE("a call that the old process accepts before its successor serves reaches the successor") {
+  Platform platform;
+  Peer server;
+  Program old(AdminConfigText(Entry("s-1", server.port)), {"serve"}, nullptr, platform.environment());
+  const Descriptor successor = ClaimListener(platform);  // has the state, and does not serve
+  REQUIRE(PostCall(old.admin, "/nodes/s-1/maint") == 200);
+  REQUIRE(PostCall(old.admin, "/healthcheck/fail") == 200);
+  REQUIRE(PostCall(old.admin, "/nodes/s-1/ready") == 200);
+  REQUIRE(PostCall(old.admin, "/healthcheck/ok") == 200);
+  std::string letters;
+  for (int i = 0; i < 4; ++i) letters += ReceiveOneOf(successor, "OIAW").substr(0, 1);
+  CHECK(letters == "OAIW");
+}
+
 // ---- A successor that dies before it holds what it was given ---------------------------------------------
 //
 // These tests guard against the loss of the listener and of all connections when the successor dies early. An
