Operators' calls: of two that cross between the processes of an upgrade the later one holds

Callers: a node put back at the new process, with a yes, was out a moment later, or the other way round, where the word of an earlier call at the old process was still on its way.

Evidence: a scripted old process received nothing of such a call, and the node of a call that got its yes was put out, or back, by its earlier message.

Change: HostGroup keeps the time of the last call about each host. A call made here gets a time later than that, is always told, and one told by the other process counts only if it is the latest.

--- a/src/membership/host_group.cpp
+++ b/src/membership/host_group.cpp
@@ -136,6 +136,7 @@
   if (host == nullptr) return false;
   if (!host->out) host->out_at = now;
   host->out = true;
+  host->called_at = std::max(host->called_at, now);
   UpdateState(*host);
   CountChange(*host);
   return true;
@@ -144,6 +145,7 @@
 bool HostGroup::PutBack(std::string_view name, Micros now) {
   Host* host = FindByName(name);
   if (host == nullptr) return false;
+  host->called_at = std::max(host->called_at, now);
   if (!std::exchange(host->out, false)) return true;
   host->back_at = now;
   ++host->incarnation;  // links to the process before its restart are useless
@@ -157,6 +159,11 @@
   TakeOut(name, since);
 }
 
+Micros HostGroup::CalledAt(std::string_view name) const {
+  auto it = by_name_.find(std::string(name));
+  return it == by_name_.end() ? 0 : it->second->called_at;
+}
+
 bool HostGroup::IsOut(std::string_view name) const {
   auto it = by_name_.find(std::string(name));
   return it != by_name_.end() && it->second->out;
@@ -209,6 +216,7 @@
     host->out = r.out;
     host->out_at = r.out_at;
     host->back_at = r.back_at;
+    host->called_at = std::max(r.out_at, r.back_at);
     host->entry.zone = r.zone;
     host->entry.cell = r.cell;
     host->entry.kind = r.kind;
--- a/src/membership/host_group.h
+++ b/src/membership/host_group.h
@@ -31,7 +31,8 @@
   bool out = false;                     // an operator has taken it out of service
   Micros out_at = 0;                    // when an operator last took it out
   Micros back_at = 0;                   // when an operator last put it back; it may have restarted until then
-  Micros gone_at = kNever;              // since when its listed state is kGone
+  Micros called_at = 0;      // time of the operators' last call about it; see HostGroup::CalledAt()
+  Micros gone_at = kNever;   // since when its listed state is kGone
   Micros started_at = 0;     // as listed; in `entry` it is never later than the time the list arrived
   uint64_t incarnation = 0;  // incremented by each restart and change of address
   // included in HostGroup::changes()
@@ -84,6 +85,9 @@
   // Puts a host back into its listed state. It counts as cold, because it was most likely restarted,
   // whatever the list says.
   bool PutBack(std::string_view name, Micros now);
+  // Time of the operators' last call about a host, whether it changed anything; 0: none. Where calls at two
+  // processes cross, the later one holds.
+  Micros CalledAt(std::string_view name) const;
   // Takes a host out of service that was out before this start and may not be listed yet.
   void TakeOutUnlisted(const std::string& name, Micros since);
   bool Knows(std::string_view name) const { return by_name_.contains(std::string(name)); }
--- a/src/serve/program.h
+++ b/src/serve/program.h
@@ -131,6 +131,8 @@
   void LoadOutFile();
   bool SaveOutFile(const std::vector<OutHost>& out);
   void RetrySaveOutFile();
+  bool OutFileAgrees();
+  Micros NextCallTime(std::string_view server);
   void OnHostsChanged();
   void UpdateDescriptorLimits();
   void OnListUpdate(const HostList* list, const std::string& why);
--- a/src/serve/program_handover.cpp
+++ b/src/serve/program_handover.cpp
@@ -33,9 +33,7 @@
   }
   if (!why.empty()) log_.Emit<"state_refused">(why);
   // The predecessor may have failed to write the out file, for example because the disk was full.
-  const std::string path = OutFilePath(config_);
-  const std::optional<std::string> text = path.empty() ? std::nullopt : machine_.files().Read(path);
-  out_file_current_ = path.empty() || (text ? *text == WriteOutFile(hosts_.Out()) : hosts_.Out().empty());
+  out_file_current_ = OutFileAgrees();
   return true;
 }
 
@@ -126,19 +124,25 @@
   handover_->SendUse({budget_.open() + LinkBudget::kSpareDescriptors, machine_.ResidentBytes() / 1024});
 }
 
-// Forwarded, because a third process may be running. Forwarding ends at a process that already knows it.
+// Where calls at two processes cross, the later one holds at both. Forwarded, because a third process may be
+// running; forwarding ends at a process that knows of this call or of a later one.
 void Program::OnPeerTookOut(const NodeChange& call) {
-  if (hosts_.IsOut(call.name) || !hosts_.TakeOut(call.name, call.since)) return;
-  OnHostsChanged();
+  if (call.since <= hosts_.CalledAt(call.name)) return;
+  const bool was_out = hosts_.IsOut(call.name);
+  if (!hosts_.TakeOut(call.name, call.since)) return;
   handover_->SendTakenOut(call);
+  if (was_out) return;
+  OnHostsChanged();
   log_.Emit<"node_out">(call.name, hosts_.Out().size());
 }
 
 void Program::OnPeerPutBack(const NodeChange& call) {
-  if (!hosts_.IsOut(call.name)) return;
+  if (!hosts_.Knows(call.name) || call.since <= hosts_.CalledAt(call.name)) return;
+  const bool was_out = hosts_.IsOut(call.name);
   hosts_.PutBack(call.name, call.since);
-  OnHostsChanged();
   handover_->SendPutBack(call);
+  if (!was_out) return;
+  OnHostsChanged();
   log_.Emit<"node_back">(call.name, hosts_.Out().size());
 }
 
--- a/src/serve/program_operations.cpp
+++ b/src/serve/program_operations.cpp
@@ -44,6 +44,19 @@
   log_.Emit<"out_file_written">(path);
 }
 
+// The time of a call made here: later than that of any other call about the node that this process knows of,
+// whatever process it was made at.
+Micros Program::NextCallTime(std::string_view server) {
+  return std::max(machine_.Now(), hosts_.CalledAt(server) + 1);
+}
+
+bool Program::OutFileAgrees() {
+  const std::string path = OutFilePath(config_);
+  if (path.empty()) return true;
+  const std::optional<std::string> text = machine_.files().Read(path);
+  return text ? *text == WriteOutFile(hosts_.Out()) : hosts_.Out().empty();
+}
+
 void Program::OnHostsChanged() {
   upstream_.CloseStaleIdle();
   dispatcher_.OnList(hosts_.Snapshot());
@@ -51,31 +64,35 @@
 
 Verdict Program::TakeOut(std::string_view server) {
   if (phase_ == Phase::kStarting) return Verdict::kNotNow;
-  if (hosts_.IsOut(server)) return Verdict::kDone;  // the first call counts
   if (!hosts_.Knows(server)) return Verdict::kUnknown;
-  std::vector<OutHost> out = hosts_.Out();
-  const Micros now = machine_.Now();
-  out.push_back({std::string(server), now});
-  if (!SaveOutFile(out)) return Verdict::kFailed;
-  hosts_.TakeOut(server, now);
-  OnHostsChanged();
+  const Micros now = NextCallTime(server);
+  if (!hosts_.IsOut(server)) {
+    std::vector<OutHost> out = hosts_.Out();
+    out.push_back({std::string(server), now});
+    if (!SaveOutFile(out)) return Verdict::kFailed;
+    hosts_.TakeOut(server, now);
+    OnHostsChanged();
+    log_.Emit<"node_out">(server, out.size());
+  } else {
+    hosts_.TakeOut(server, now);  // still out since the first call
+  }
   if (handover_) handover_->SendTakenOut({std::string(server), now});
-  log_.Emit<"node_out">(server, out.size());
   return Verdict::kDone;
 }
 
 Verdict Program::PutBack(std::string_view server) {
   if (phase_ == Phase::kStarting) return Verdict::kNotNow;
   if (!hosts_.Knows(server)) return Verdict::kUnknown;
-  if (!hosts_.IsOut(server)) return Verdict::kDone;
-  std::vector<OutHost> out = hosts_.Out();
-  std::erase_if(out, [&](const OutHost& h) { return h.name == server; });
-  out_file_current_ = SaveOutFile(out);  // a full disk must not keep a healthy node out of service
-  const Micros now = machine_.Now();
+  const Micros now = NextCallTime(server);
+  const bool was_out = hosts_.IsOut(server);
   hosts_.PutBack(server, now);
-  OnHostsChanged();
+  if (was_out) {
+    const std::vector<OutHost> out = hosts_.Out();
+    out_file_current_ = SaveOutFile(out);  // a full disk must not keep a healthy node out of service
+    OnHostsChanged();
+    log_.Emit<"node_back">(server, out.size());
+  }
   if (handover_) handover_->SendPutBack({std::string(server), now});
-  log_.Emit<"node_back">(server, out.size());
   return Verdict::kDone;
 }
 
--- a/tests/service/upgrade_test.cpp
+++ b/tests/service/upgrade_test.cpp
@@ -485,6 +485,7 @@
   }
   void End() { successor_ = Descriptor(); }
   std::string ReceiveFromSuccessor() const { return ReceiveMessage(successor_); }
+  void SendToSuccessor(const std::string& message) const { SendMessage(successor_, message); }
 
  private:
   void Run(const std::function<void(pid_t)>& before_state) {
@@ -692,6 +693,52 @@
   CHECK(letters == "OAIW");
 }
 
+namespace {
+
+// Receives an operator's call about a node from the successor: the letter and the time of the call.
+std::pair<char, Micros> ReceiveNodeCall(const ScriptedPredecessor& old) {
+  const std::string message = old.ReceiveFromSuccessor();
+  const auto call = message.empty() ? std::nullopt : Unpack<NodeChange>(message.substr(1));
+  return call ? std::pair(message.front(), call->since) : std::pair('-', Micros{0});
+}
+
+}  // namespace
+
+// Guards against a call that got a yes and is undone by an earlier one, made at the other process, that
+// arrives later: a node is put back although it was taken out last, or the other way round.
+TEST_CASE("of operator calls at two processes that cross, the later one holds") {
+  Platform platform;
+  Peer server;
+  ScriptedPredecessor old(platform, server);
+  Program successor(AdminConfigText(Entry("s-1", server.port)), {"serve"}, nullptr, platform.environment());
+  old.Join();
+  REQUIRE(old.successor_serves());
+  // Put back here, while the message that it was taken out there is still on its way.
+  REQUIRE(PostCall(successor.admin, "/nodes/s-1/ready") == 200);
+  const auto [back, back_at] = ReceiveNodeCall(old);
+  CHECK(back == 'I');
+  old.SendToSuccessor(Pack('O', NodeChange{"s-1", back_at - 1}));
+  WaitTwoTurns(successor);
+  CHECK(successor.output.find("s-1 is out by hand") == std::string::npos);
+  // Taken out here once more, while the message that it was put back there is still on its way.
+  REQUIRE(PostCall(successor.admin, "/nodes/s-1/maint") == 200);
+  CHECK(ReceiveNodeCall(old).first == 'O');
+  REQUIRE(PostCall(successor.admin, "/nodes/s-1/maint") == 200);
+  const auto [out, out_at] = ReceiveNodeCall(old);
+  CHECK(out == 'O');
+  old.SendToSuccessor(Pack('I', NodeChange{"s-1", out_at - 1}));
+  WaitTwoTurns(successor);
+  CHECK(successor.output.find("s-1 is back") == std::string::npos);
+  // A later call of the other process holds, also if its clock is behind and it knows of this one's calls.
+  old.SendToSuccessor(Pack('I', NodeChange{"s-1", out_at + kSecond * 3600}));
+  CHECK(WaitForLog(successor, "s-1 is back"));
+  REQUIRE(PostCall(successor.admin, "/nodes/s-1/maint") == 200);
+  const auto [last, last_at] = ReceiveNodeCall(old);  // forwarded to other processes, the sender among them
+  CHECK(last == 'I');
+  CHECK(ReceiveNodeCall(old) > std::pair('O', last_at));
+  CHECK(successor.Wait(SIGTERM) == 0);
+}
+
 // ---- A successor that dies before it holds what it was given ---------------------------------------------
 //
 // These tests guard against the loss of the listener and of all connections when the successor dies early. An
