Operators' calls: the file of nodes out holds what either process was called

Callers: a node out by hand, with a yes, was in service after a restart where the file had been written over by the other process of an upgrade.

Who is told of a call did not look at it, and dropped calls for nodes that its own list does not name. Evidence: after both kinds of message a successor's file was missing.

Change: who is told of a call that changes something compares the file with what it knows now and writes it where they differ; an unlisted node is kept out as one from the file is.

--- a/src/serve/program.h
+++ b/src/serve/program.h
@@ -133,6 +133,7 @@
   void RetrySaveOutFile();
   bool OutFileAgrees();
   Micros NextCallTime(std::string_view server);
+  void OnPeerCall();
   void OnHostsChanged();
   void UpdateDescriptorLimits();
   void OnListUpdate(const HostList* list, const std::string& why);
--- a/src/serve/program_handover.cpp
+++ b/src/serve/program_handover.cpp
@@ -129,10 +129,10 @@
 void Program::OnPeerTookOut(const NodeChange& call) {
   if (call.since <= hosts_.CalledAt(call.name)) return;
   const bool was_out = hosts_.IsOut(call.name);
-  if (!hosts_.TakeOut(call.name, call.since)) return;
+  hosts_.TakeOutUnlisted(call.name, call.since);  // the list of this process may not name it yet
   handover_->SendTakenOut(call);
   if (was_out) return;
-  OnHostsChanged();
+  OnPeerCall();
   log_.Emit<"node_out">(call.name, hosts_.Out().size());
 }
 
@@ -142,10 +142,17 @@
   hosts_.PutBack(call.name, call.since);
   handover_->SendPutBack(call);
   if (!was_out) return;
-  OnHostsChanged();
+  OnPeerCall();
   log_.Emit<"node_back">(call.name, hosts_.Out().size());
 }
 
+// The other process wrote the file, perhaps without a call that was made here at the same moment.
+void Program::OnPeerCall() {
+  OnHostsChanged();
+  out_file_current_ = OutFileAgrees();
+  RetrySaveOutFile();
+}
+
 void Program::OnPeerDrain(bool drains) { SetManualDrain(drains); }
 
 }  // namespace burlfall
--- a/tests/service/upgrade_test.cpp
+++ b/tests/service/upgrade_test.cpp
@@ -739,6 +739,25 @@
   CHECK(successor.Wait(SIGTERM) == 0);
 }
 
+// Guards against a node out of service that is forgotten by a restart, because the process that writes the
+// file last did not know of the call when it wrote.
+TEST_CASE("the file of nodes out of service names a node that the other process took out") {
+  Platform platform;
+  Peer server;
+  ScriptedPredecessor old(platform, server);
+  Program successor(AdminConfigText(Entry("s-1", server.port)), {"serve"}, nullptr, platform.environment());
+  old.Join();
+  REQUIRE(old.successor_serves());
+  old.SendToSuccessor(Pack('O', NodeChange{"s-1", 1'800'000'000 * kSecond}));
+  old.SendToSuccessor(Pack('O', NodeChange{"not-listed-here", 1'800'000'000 * kSecond}));
+  WaitTwoTurns(successor);
+  CHECK(successor.output.find("not-listed-here is out by hand") != std::string::npos);
+  successor.Signal(SIGKILL);
+  const std::string file = ReadFile(platform.folder.path + "/burlfall-n1.out");
+  CHECK(file.find(" s-1\n") != std::string::npos);
+  CHECK(file.find(" not-listed-here\n") != std::string::npos);
+}
+
 // ---- A successor that dies before it holds what it was given ---------------------------------------------
 //
 // These tests guard against the loss of the listener and of all connections when the successor dies early. An
