--- a/tests/drills/drills_test.cpp
+++ b/tests/drills/drills_test.cpp
@@ -293,6 +293,7 @@
   CHECK(answer.find("Retry-After: ") != std::string::npos);
   link.Write(Ok("fine"));
   CHECK(held.Read().ends_with("fine"));
+  LetServerLinksRest();
   held.Write(Get("t3"));
   link.Read();
   link.Write(Ok("room"));
--- a/tests/lab/peers_serve_test.cpp
+++ b/tests/lab/peers_serve_test.cpp
@@ -17,6 +17,7 @@
   link.Read();
   link.Write(Ok("first"));
   CHECK(client.Read().ends_with("first"));
+  LetServerLinksRest();
   client.Write(Post("open", "t2", "x"));
   CHECK(link.Read().ends_with("x"));
   link.Write("HTTP/1.1 500 Odd\r\nContent-Length: 0\r\n\r\n");
--- a/tests/service/messages_test.cpp
+++ b/tests/service/messages_test.cpp
@@ -258,6 +258,7 @@
   link.Write("HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n");
   const std::string head = ReadHead(client);
   CHECK(head.find("Content-Length: 900\r\n") != std::string::npos);
+  LetServerLinksRest();
   client.Write(Get("t2"));
   CHECK(link.Read().starts_with("GET /look"));  // on the same link
   link.Write(Ok("next"));
--- a/tests/stories/peers.h
+++ b/tests/stories/peers.h
@@ -21,7 +21,9 @@
 #include <fstream>
 #include <iterator>
 #include <map>
+#include <optional>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -126,12 +128,23 @@
     REQUIRE(poll(both.data(), 2, kTimeoutSeconds * 1000) >= 1);
     return both[0].revents != 0 ? a : b;
   }
+  // Waits for the next query on `link`, or on a new connection, which then replaces it. For tests in which it
+  // does not matter whether the balancer reuses the link.
+  void AwaitQuery(std::optional<Link>& link) {
+    std::array<pollfd, 2> both = {pollfd{fd_.get(), POLLIN, 0}, pollfd{link ? link->fd() : -1, POLLIN, 0}};
+    REQUIRE(poll(both.data(), 2, kTimeoutSeconds * 1000) >= 1);
+    if (both[0].revents != 0) link.emplace(Accept());
+  }
   uint16_t port = 0;
 
  private:
   Descriptor fd_;
 };
 
+// Lets idle server links rest for longer than HttpUpstream's kSecondAnswerWindow. Then they are reused
+// whatever their last answers were.
+inline void LetServerLinksRest() { std::this_thread::sleep_for(std::chrono::milliseconds(70)); }
+
 inline std::string Entry(const std::string& id, uint16_t port, const std::string& state = "Ready") {
   return R"({"id":")" + id + R"(","addr":"127.0.0.1:)" + std::to_string(port) +
          R"(","zone":"a","kind":"m","cell":1,"state":")" + state + R"(","weight":1.0,"started_ms":0})";
