--- a/review/6/case.cpp
+++ b/review/6/scenario.cpp
@@ -1,6 +1,6 @@
-// The balancer that owns the work "freeze" is cut off from the others for 8 s, just as it sees a zone down. Another one
-// becomes the owner meanwhile, and the zone comes back. What the earlier owner had written then arrives. It has to have
-// no effect.
+// The balancer that owns the work "freeze" is cut off from the others for 8 s, just as it sees a zone down.
+// Another one becomes the owner meanwhile, and the zone comes back. What the earlier owner had written then
+// arrives. It has to have no effect.
 #include "../support-2/common.h"
 
 using namespace rv;
@@ -18,7 +18,8 @@
   sockaddr_in at = Loopback(port);
   at.sin_addr.s_addr = Host(host);
   socklen_t length = sizeof at;
-  if (bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 || listen(fd, 64) != 0) End(2, "no free port");
+  if (bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 || listen(fd, 64) != 0)
+    End(2, "no free port");
   getsockname(fd, reinterpret_cast<sockaddr*>(&at), &length);
   port = ntohs(at.sin_port);
   return fd;
@@ -42,8 +43,8 @@
   shutdown(to, SHUT_RDWR);
 }
 
-// The path to one voter: 127.0.0.(number + 1):port, on to its own listener. Members connect from their own host, so
-// the links of balancer-1 (127.0.0.1) are told from the others.
+// The path to one voter: 127.0.0.(number + 1):port, on to its own listener. Members connect from their own
+// host, so the links of balancer-1 (127.0.0.1) are told from the others.
 void Path(int number, int listener, int target) {
   while (true) {
     sockaddr_in peer{};
@@ -105,19 +106,22 @@
     if (i == 3) continue;  // it does not vote
     const int listener = Listen(i, paths[n]);
     std::thread(Path, i, listener, own[n]).detach();
-    voters += Text("\n[[voters]]\nname = \"%s\"\naddress = \"127.0.0.%d:%d\"\n", all.back()->name.c_str(), i + 1, paths[n]);
+    voters += Text("\n[[voters]]\nname = \"%s\"\naddress = \"127.0.0.%d:%d\"\n", all.back()->name.c_str(),
+                   i + 1, paths[n]);
   }
   std::vector<std::string> flags;
   for (int i = 0; i < 4; ++i) {
     const size_t n = static_cast<size_t>(i);
     const std::string stem = temp_folder + "/" + all[n]->name;
-    WriteAll(stem + ".cluster.toml",
-             Text("site = \"aarfeld\"\nlisten = \"127.0.0.1:%d\"\nzone = \"%s\"\nseeds = [\"127.0.0.1:%d\", \"127.0.0.1:%d\"]\n"
-                  "folder = \"$TMPDIR\"\nperiod_ms = 400\nwait_s = [1.0, 1.5]\n", cluster[n], zones[i], cluster[0], cluster[1]));
+    WriteAll(stem + ".cluster.toml", Text("site = \"aarfeld\"\nlisten = \"127.0.0.1:%d\"\nzone = "
+                                          "\"%s\"\nseeds = [\"127.0.0.1:%d\", \"127.0.0.1:%d\"]\n"
+                                          "folder = \"$TMPDIR\"\nperiod_ms = 400\nwait_s = [1.0, 1.5]\n",
+                                          cluster[n], zones[i], cluster[0], cluster[1]));
     flags.push_back(" --log-format json --cluster " + stem + ".cluster.toml");
-    WriteAll(stem + ".council.toml",
-             Text("site = \"aarfeld\"\nlisten = \"127.0.0.%d:%d\"\ntold = \"127.0.0.%d:%d\"\nfolder = \"$TMPDIR\"\n", i + 1,
-                  own[n], i + 1, i < 3 ? paths[n] : own[n]) + (i < 3 ? "wants = [\"freeze\"]\n" : "") + voters);
+    WriteAll(stem + ".council.toml", Text("site = \"aarfeld\"\nlisten = \"127.0.0.%d:%d\"\ntold = "
+                                          "\"127.0.0.%d:%d\"\nfolder = \"$TMPDIR\"\n",
+                                          i + 1, own[n], i + 1, i < 3 ? paths[n] : own[n]) +
+                                         (i < 3 ? "wants = [\"freeze\"]\n" : "") + voters);
     flags.back() += " --council " + stem + ".council.toml";
   }
   std::vector<std::unique_ptr<Process>> running;
@@ -129,10 +133,12 @@
     if (!one->Up(10000)) End(2, "a balancer did not come up");
   }
   const auto ask = [&](size_t i, const std::string& words, int& code, bool record = true) {
-    const std::string text = Output("build/burlfall council " + words + " --socket " + all[i]->folder + "/burlfall-" +
-                                    all[i]->name + ".council", code);
-    if (record) Rec("operator at %s: council %s -> %d %s", all[i]->name.c_str(), words.c_str(), code,
-                    text.substr(0, text.find('\n')).c_str());
+    const std::string text = Output("build/burlfall council " + words + " --socket " + all[i]->folder +
+                                        "/burlfall-" + all[i]->name + ".council",
+                                    code);
+    if (record)
+      Rec("operator at %s: council %s -> %d %s", all[i]->name.c_str(), words.c_str(), code,
+          text.substr(0, text.find('\n')).c_str());
     return text;
   };
   const auto status = [&](size_t i) {
@@ -165,7 +171,8 @@
   if (owner(status(1)) != "balancer-1" || Value(status(1), "leader") != "balancer-2")
     End(2, "balancer-1 did not become the owner under the leader balancer-2");
   const uint64_t first_epoch = epoch(status(1));
-  Rec("the owner of freeze is balancer-1, epoch %llu; the leader is balancer-2", static_cast<unsigned long long>(first_epoch));
+  Rec("the owner of freeze is balancer-1, epoch %llu; the leader is balancer-2",
+      static_cast<unsigned long long>(first_epoch));
   // The only balancer of genf dies, for some seconds.
   const double killed = NowMs();
   running[3]->Signal(SIGKILL);
@@ -194,19 +201,22 @@
     End(2, "no other balancer became the owner");
   if (trouble) {
     cut = false;
-    Rec("the cut is over; the owner is %s, epoch %llu", owner(before).c_str(), static_cast<unsigned long long>(second_epoch));
+    Rec("the cut is over; the owner is %s, epoch %llu", owner(before).c_str(),
+        static_cast<unsigned long long>(second_epoch));
   }
   SleepMs(3000);
   const std::string after = status(1);
   Rec("3 s later, at the leader: %s", after.c_str());
   const size_t incidents = after.find("\"incidents\":[");
-  const bool opened = incidents != std::string::npos && after.find("zone_down", incidents) != std::string::npos;
+  const bool opened =
+      incidents != std::string::npos && after.find("zone_down", incidents) != std::string::npos;
   // What it does: it forbids among other things to drain the balancer of this zone.
   const int drain = Call(all[3]->admin, "POST", "/healthcheck/fail", "", 8000).status();
   Rec("operator at balancer-4: POST /healthcheck/fail -> %d", drain);
   for (size_t i = 0; i < 4; ++i) Rec("log of %s: %s", all[i]->name.c_str(), running[i]->LogText().c_str());
   if (opened)
-    End(1, Text("an act of the owner with epoch %llu took effect after epoch %llu was given: incident zone_down for genf is "
+    End(1, Text("an act of the owner with epoch %llu took effect after epoch %llu was given: incident "
+                "zone_down for genf is "
                 "open, with all balancers up for %.0f s; a drain of balancer-4 got %d",
                 static_cast<unsigned long long>(first_epoch), static_cast<unsigned long long>(second_epoch),
                 trouble ? 8.0 : 0.0, drain));
--- a/review/7/case.cpp
+++ b/review/7/scenario.cpp
@@ -1,5 +1,6 @@
-// All voters of a council lose their folders, and staff begin the council anew with a number above all epochs, as the
-// page says. A member that follows owned the work "freeze" before, and its lease still runs. No executor may obey it.
+// All voters of a council lose their folders, and staff begin the council anew with a number above all
+// epochs, as the page says. A member that follows owned the work "freeze" before, and its lease still runs.
+// No executor may obey it.
 #include "../support-2/common.h"
 
 using namespace rv;
@@ -31,14 +32,20 @@
     all.push_back(std::make_unique<Balancer>(site, i));
     all.back()->Configure(discovery.server.port, node.Entry());
     ports.push_back(FreePort());
-    if (i < 3) voters += Text("\n[[voters]]\nname = \"%s\"\naddress = \"127.0.0.1:%d\"\n", all.back()->name.c_str(), ports.back());
+    if (i < 3)
+      voters += Text("\n[[voters]]\nname = \"%s\"\naddress = \"127.0.0.1:%d\"\n", all.back()->name.c_str(),
+                     ports.back());
   }
-  const auto flag = [&](size_t i) { return " --log-format json --council " + temp_folder + "/" + all[i]->name + ".council.toml"; };
+  const auto flag = [&](size_t i) {
+    return " --log-format json --council " + temp_folder + "/" + all[i]->name + ".council.toml";
+  };
   for (size_t i = 0; i < 4; ++i) {
     // docs/council.md: where pauses of more than a second are usual, the lease is raised.
     WriteAll(temp_folder + "/" + all[i]->name + ".council.toml",
-             Text("site = \"zuerich\"\nlisten = \"127.0.0.1:%d\"\nfolder = \"$TMPDIR\"\nwants = [\"freeze\"]\nlease_s = 20.0\n",
-                  ports[i]) + voters);
+             Text("site = \"zuerich\"\nlisten = \"127.0.0.1:%d\"\nfolder = \"$TMPDIR\"\nwants = "
+                  "[\"freeze\"]\nlease_s = 20.0\n",
+                  ports[i]) +
+                 voters);
   }
   std::vector<std::unique_ptr<Process>> running;
   const auto start = [&](size_t i, const std::string& name) {
@@ -49,10 +56,12 @@
     if (!one->Up(10000)) End(2, "a balancer did not come up");
   }
   const auto ask = [&](size_t i, const std::string& words, int& code, bool record = true) {
-    const std::string text = Output("build/burlfall council " + words + " --socket " + all[i]->folder + "/burlfall-" +
-                                    all[i]->name + ".council", code);
-    if (record) Rec("operator at %s: council %s -> %d %s", all[i]->name.c_str(), words.c_str(), code,
-                    text.substr(0, text.find('\n')).c_str());
+    const std::string text = Output("build/burlfall council " + words + " --socket " + all[i]->folder +
+                                        "/burlfall-" + all[i]->name + ".council",
+                                    code);
+    if (record)
+      Rec("operator at %s: council %s -> %d %s", all[i]->name.c_str(), words.c_str(), code,
+          text.substr(0, text.find('\n')).c_str());
     return text;
   };
   const auto status = [&](size_t i) {
@@ -67,7 +76,8 @@
   }
   if (!WaitFor(20000, [&] {
         const std::string json = status(0);
-        return json.find("\"balancer-3\"", json.find("\"voters\"")) != std::string::npos && !owner(json).empty();
+        return json.find("\"balancer-3\"", json.find("\"voters\"")) != std::string::npos &&
+               !owner(json).empty();
       }))
     End(2, "the council did not come up");
   for (int tries = 0; tries < 60 && owner(status(3)) != "balancer-4"; ++tries) {
@@ -76,7 +86,8 @@
   }
   const std::string before = status(3);
   if (owner(before) != "balancer-4") End(2, "balancer-4 did not become the owner");
-  const unsigned long long first = std::strtoull(Value(before, "epoch", before.find("\"works\"")).c_str(), nullptr, 10);
+  const unsigned long long first =
+      std::strtoull(Value(before, "epoch", before.find("\"works\"")).c_str(), nullptr, 10);
   Rec("balancer-4, which does not vote, owns freeze under epoch %llu", first);
   if (!running[0]->LogHas(Text("\"epoch\":%llu", first), 15000)) End(2, "its first act did not come");
   SleepMs(1000);
@@ -92,7 +103,8 @@
     }
     Rec("the folders of all voters are gone");
   }
-  // 2. The highest epoch and entry that balancer-4 shows, and a number far above both. 3. All voters on empty folders.
+  // 2. The highest epoch and entry that balancer-4 shows, and a number far above both. 3. All voters on empty
+  // folders.
   status(3);
   std::vector<std::unique_ptr<Process>> anew;
   for (size_t i = 0; i < 3; ++i) anew.push_back(start(i, all[i]->name + "-anew"));
@@ -114,7 +126,8 @@
     std::istringstream lines(anew[i]->LogText());
     std::string line;
     while (std::getline(lines, line)) {
-      if (line.find("\"council_") != std::string::npos) Rec("log of %s: %s", anew[i]->name.c_str(), line.c_str());
+      if (line.find("\"council_") != std::string::npos)
+        Rec("log of %s: %s", anew[i]->name.c_str(), line.c_str());
       if (line.find("\"council_obeys\"") == std::string::npos) continue;
       const unsigned long long epoch = std::strtoull(Value(line, "epoch").c_str(), nullptr, 10);
       if (trouble && epoch <= kFloor)
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,9 +4,9 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p build/review-2
-for source in review/{6,7,8,9,10}/case.cpp; do
-  [ -f "$source" ] || continue
-  number=$(basename "$(dirname "$source")")
-  g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "build/review-2/case-$number" "$source" &
+jobs=()
+for number in 6 7 8 9 10; do
+  g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "build/review-2/case-$number" "review/$number/scenario.cpp" &
+  jobs+=($!)
 done
-wait
+for job in "${jobs[@]}"; do wait "$job"; done
--- a/review/support-2/common.h
+++ b/review/support-2/common.h
@@ -206,7 +206,7 @@
 // ---- HTTP ----------------------------------------------------------------------------------------------
 
 struct Message {
-  std::string first;  // the start line
+  std::string first;                           // the start line
   std::map<std::string, std::string> headers;  // by name in lower case
   std::string body;
   bool whole = false;  // it came whole
@@ -354,7 +354,8 @@
 };
 
 inline std::string Ok(const std::string& body, const std::string& headers = "") {
-  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + headers + "\r\n" + body;
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + headers + "\r\n" +
+         body;
 }
 
 // ---- Nodes and discovery -------------------------------------------------------------------------------
@@ -370,9 +371,9 @@
         server(std::move(id), [this](int fd, const Message& request) { return Run(fd, request); }) {}
   const std::string& id() const { return server.name; }
   std::string Entry(const std::string& state = "Ready") const {
-    return Text(
-        R"({"id":"%s","addr":"127.0.0.1:%d","zone":"%s","kind":"%s","cell":0,"state":"%s","weight":1.0,"started_ms":0})",
-        id().c_str(), server.port, zone.c_str(), kind.c_str(), state.c_str());
+    return Text(R"({"id":"%s","addr":"127.0.0.1:%d","zone":"%s","kind":"%s","cell":0,"state":"%s",)"
+                R"("weight":1.0,"started_ms":0})",
+                id().c_str(), server.port, zone.c_str(), kind.c_str(), state.c_str());
   }
   void Note(const Message& request, const char* what) {
     Rec("node %s %s %s %s", id().c_str(), what, request.path().c_str(), request.header("x-trace-id").c_str());
@@ -445,7 +446,8 @@
           if (version > known) some.push_back(entry);
         }
         const std::string body = Text("{\"version\":%llu,\"full\":false,\"servers\":[",
-                                      static_cast<unsigned long long>(version_)) + Join(some) + "]}";
+                                      static_cast<unsigned long long>(version_)) +
+                                 Join(some) + "]}";
         lock.unlock();
         return SendAll(fd, Ok(body));
       }
@@ -476,8 +478,8 @@
 class Process {
  public:
   // `passed`: a descriptor that the process inherits as descriptor 5.
-  Process(std::string its_name, const std::string& command, const std::map<std::string, std::string>& variables,
-          int passed = -1)
+  Process(std::string its_name, const std::string& command,
+          const std::map<std::string, std::string>& variables, int passed = -1)
       : name(std::move(its_name)), log(temp_folder + "/" + name + ".log") {
     const pid_t parent = getpid();
     const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
@@ -605,19 +607,27 @@
 
   std::string Settings(int number) const {
     return Text(
-        R"({"Balancers":%d,"Caps":{"Cancel":true,"ConnectTimeout":150000,"CpuUsPerRequest":0.0,"CpuUsPerS":8000,)"
-        R"("Keepalive":10000000,"MaxRetryAfter":1000000,"MaxStreams":1,"MayProbe":false,"OpenCap":20000,"Peers":false,)"
+        R"({"Balancers":%d,"Caps":{"Cancel":true,"ConnectTimeout":150000,"CpuUsPerRequest":0.0,)"
+        R"("CpuUsPerS":8000,)"
+        R"("Keepalive":10000000,"MaxRetryAfter":1000000,"MaxStreams":1,"MayProbe":false,)"
+        R"("OpenCap":20000,"Peers":false,)"
         R"("RetryAfter":true,"SecondCopies":true,"SendCap":5},"Categories":[)"
-        R"({"DedupWindow":5000000,"Effect":"pure","Group":"all","HardLimit":%d,"LateShare":0.0,"Name":"stock-query","Slo":%d,"Stream":false,"Worth":3.0},)"
-        R"({"DedupWindow":5000000,"Effect":"side_effect","Group":"all","HardLimit":1000000,"LateShare":0.0,"Name":"slot-release","Slo":400000,"Stream":false,"Worth":3.0},)"
-        R"({"DedupWindow":1200000,"Effect":"token","Group":"all","HardLimit":600000,"LateShare":0.0,"Name":"swap-charge","Slo":300000,"Stream":false,"Worth":5.0}],)"
+        R"({"DedupWindow":5000000,"Effect":"pure","Group":"all","HardLimit":%d,"LateShare":0.0,)"
+        R"("Name":"stock-query","Slo":%d,"Stream":false,"Worth":3.0},)"
+        R"({"DedupWindow":5000000,"Effect":"side_effect","Group":"all","HardLimit":1000000,)"
+        R"("LateShare":0.0,"Name":"slot-release","Slo":400000,"Stream":false,"Worth":3.0},)"
+        R"({"DedupWindow":1200000,"Effect":"token","Group":"all","HardLimit":600000,)"
+        R"("LateShare":0.0,"Name":"swap-charge","Slo":300000,"Stream":false,"Worth":5.0}],)"
         R"("ClientHabits":{"MarksRetry":false},"Family":"proxy","FamilyInfo":{"WarmKeys":true},)"
         R"("Goal":{"Whole":0.45,"WorstClass":0.3,"WorstTenant":0.1,"WorstWindow":0.15},"MachineTypes":[%s],)"
         R"("MembershipMode":"subscribe","MyZone":0,"OverShareWorth":0.1,)"
         R"("Prices":{"Connection":0.05,"CrossZone":0.0,"Handshake":0.05,"LateFail":0.15,"Waste":0.02},)"
-        R"("Realms":[{"Name":"wechselstrom-aare","QuotaPerS":197.0,"Share":0.68},{"Name":"akku-punkt-lu","QuotaPerS":93.0,"Share":0.32}],)"
-        R"("Report":{"Columns":[],"How":"silent"},"Resolution":5000,"Rules":{"AnswerSlack":20000,"DrainGrace":750000,)"
-        R"("Fall":1500000,"MustAskIn":10000000,"OverloadFactor":4.0,"StartCapacity":0.12,"WarmAfter":23000000},)"
+        R"("Realms":[{"Name":"wechselstrom-aare","QuotaPerS":197.0,"Share":0.68},)"
+        R"({"Name":"akku-punkt-lu","QuotaPerS":93.0,"Share":0.32}],)"
+        R"("Report":{"Columns":[],"How":"silent"},"Resolution":5000,"Rules":{"AnswerSlack":20000,)"
+        R"("DrainGrace":750000,)"
+        R"("Fall":1500000,"MustAskIn":10000000,"OverloadFactor":4.0,"StartCapacity":0.12,)"
+        R"("WarmAfter":23000000},)"
         R"("SlotNo":%d,"Tier":0,"Tiers":["swap-nodes"],"Weights":"rough","WorthBy":"work","Zones":[%s]})",
         balancers, look_deadline_ms * 1000, look_slo_ms() * 1000, kinds.c_str(), number, zones.c_str());
   }
@@ -638,13 +648,15 @@
   }
   // `known`: entries of the list that it last had.
   void Configure(int discovery, const std::string& known, uint64_t version = 1) {
-    WriteAll(config(), Text(R"({"name":"%s","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","admin":"127.0.0.1:%d",)",
-                            name.c_str(), listen, discovery, admin) +
-                           Text(R"("seed":"8c1f30d27a5be96%d","limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},)",
-                                number % 10, site.memory_mb, site.sockets) +
-                           Text(R"("known":{"version":%llu,"full":true,"servers":[)",
-                                static_cast<unsigned long long>(version)) +
-                           known + R"(]},"settings":)" + site.Settings(number) + "}");
+    WriteAll(
+        config(),
+        Text(R"({"name":"%s","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","admin":"127.0.0.1:%d",)",
+             name.c_str(), listen, discovery, admin) +
+            Text(R"("seed":"8c1f30d27a5be96%d","limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},)",
+                 number % 10, site.memory_mb, site.sockets) +
+            Text(R"("known":{"version":%llu,"full":true,"servers":[)",
+                 static_cast<unsigned long long>(version)) +
+            known + R"(]},"settings":)" + site.Settings(number) + "}");
   }
   std::string config() const { return temp_folder + "/" + name + ".json"; }
   std::map<std::string, std::string> Environment(int its_admin = 0, bool passed = false) const {
@@ -668,24 +680,28 @@
 
 // The council of a deployment: the file of each voter, and the operators' calls.
 struct Council {
-  explicit Council(const std::vector<Balancer*>& its_voters, const std::string& more = "") : voters(its_voters) {
+  explicit Council(const std::vector<Balancer*>& its_voters, const std::string& more = "")
+      : voters(its_voters) {
     for (size_t i = 0; i < voters.size(); ++i) ports.push_back(FreePort());
     std::string list;
     for (size_t i = 0; i < voters.size(); ++i) {
-      list += Text("\n[[voters]]\nname = \"%s\"\naddress = \"127.0.0.1:%d\"\n", voters[i]->name.c_str(), ports[i]);
+      list += Text("\n[[voters]]\nname = \"%s\"\naddress = \"127.0.0.1:%d\"\n", voters[i]->name.c_str(),
+                   ports[i]);
     }
     for (size_t i = 0; i < voters.size(); ++i) {
-      WriteAll(File(i), Text("site = \"zuerich\"\nlisten = \"127.0.0.1:%d\"\nfolder = \"$TMPDIR\"\nwants = [\"freeze\"]\n",
-                             ports[i]) +
-                            list + more);
+      WriteAll(
+          File(i),
+          Text("site = \"zuerich\"\nlisten = \"127.0.0.1:%d\"\nfolder = \"$TMPDIR\"\nwants = [\"freeze\"]\n",
+               ports[i]) +
+              list + more);
     }
   }
   std::string File(size_t i) const { return temp_folder + "/" + voters[i]->name + ".council.toml"; }
   std::string Flag(size_t i) const { return " --council " + File(i); }
   std::string Ask(size_t i, const std::string& words, int& code) const {
-    const std::string text = Output(
-        "build/burlfall council " + words + " --socket " + voters[i]->folder + "/burlfall-" + voters[i]->name + ".council",
-        code);
+    const std::string text = Output("build/burlfall council " + words + " --socket " + voters[i]->folder +
+                                        "/burlfall-" + voters[i]->name + ".council",
+                                    code);
     std::string line = text.substr(0, text.find('\n'));
     Rec("operator at %s: council %s -> %d %s", voters[i]->name.c_str(), words.c_str(), code, line.c_str());
     return text;
@@ -701,13 +717,15 @@
       for (size_t i = 0; i < voters.size(); ++i) {
         int ended = 0;
         const std::string text = Output("build/burlfall council status --json --socket " + voters[i]->folder +
-                                            "/burlfall-" + voters[i]->name + ".council", ended);
+                                            "/burlfall-" + voters[i]->name + ".council",
+                                        ended);
         size_t named = 0;
         for (const Balancer* one : voters) {
           const size_t from = text.find("\"voters\"");
           named += from != std::string::npos && text.find("\"" + one->name + "\"", from) != std::string::npos;
         }
-        if (ended != 0 || named < voters.size() || text.find("\"standing\":\"in\"") == std::string::npos) return false;
+        if (ended != 0 || named < voters.size() || text.find("\"standing\":\"in\"") == std::string::npos)
+          return false;
       }
       return true;
     });
