Review case 6: the cut takes datagrams too, and lasts for 6 s

Change: the path of the data centre carries connections and datagrams of the cluster as well; the cut is 6 s long.

--- a/review/6/scenario.cpp
+++ b/review/6/scenario.cpp
@@ -1,4 +1,4 @@
-// The balancer that owns the work "freeze" is cut off from the others for 8 s, just as it sees a zone down.
+// The balancer that owns the work "freeze" is cut off from the others for 6 s, just as it sees a zone down.
 // Another one becomes the owner meanwhile, and the zone comes back. What the earlier owner had written then
 // arrives. It has to have no effect.
 #include "../support-2/common.h"
@@ -74,6 +74,22 @@
   }
 }
 
+// The same for datagrams; those that meet the cut are lost.
+void DatagramPath(int number, int at_port, int target) {
+  const int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+  sockaddr_in at = Loopback(at_port), to = Loopback(target);
+  at.sin_addr.s_addr = to.sin_addr.s_addr = Host(number);
+  if (bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0) End(2, "no free port for datagrams");
+  char bytes[65536];
+  while (true) {
+    sockaddr_in peer{};
+    socklen_t length = sizeof peer;
+    const ssize_t n = recvfrom(fd, bytes, sizeof bytes, 0, reinterpret_cast<sockaddr*>(&peer), &length);
+    if (n < 0 || (cut && (number == 0 || peer.sin_addr.s_addr == Host(0)))) continue;
+    sendto(fd, bytes, static_cast<size_t>(n), 0, reinterpret_cast<sockaddr*>(&to), sizeof to);
+  }
+}
+
 // The value of a key in the JSON of `council status`, the first after `from`.
 std::string Value(const std::string& json, const std::string& key, size_t from = 0) {
   const size_t at = json.find("\"" + key + "\":", from);
@@ -95,13 +111,16 @@
   discovery.Set(1, {{node.id(), node.Entry()}});
   const char* const zones[] = {"zuerich", "bern", "bern", "genf"};
   std::vector<std::unique_ptr<Balancer>> all;
-  std::vector<int> paths(3, 0), own(4, 0), cluster(4, 0);
+  std::vector<int> paths(3, 0), own(4, 0), cluster(4, 0), cluster_paths(4, 0);
   std::string voters;
   for (int i = 0; i < 4; ++i) {
     all.push_back(std::make_unique<Balancer>(site, i));
     all.back()->Configure(discovery.server.port, node.Entry());
-    cluster[static_cast<size_t>(i)] = FreePort();
     const size_t n = static_cast<size_t>(i);
+    cluster[n] = FreePort();
+    cluster_paths[n] = FreePort();
+    std::thread(Path, i, Listen(i, cluster_paths[n]), cluster[n]).detach();
+    std::thread(DatagramPath, i, cluster_paths[n], cluster[n]).detach();
     own[n] = FreePort();
     if (i == 3) continue;  // it does not vote
     const int listener = Listen(i, paths[n]);
@@ -113,10 +132,11 @@
   for (int i = 0; i < 4; ++i) {
     const size_t n = static_cast<size_t>(i);
     const std::string stem = temp_folder + "/" + all[n]->name;
-    WriteAll(stem + ".cluster.toml", Text("site = \"aarfeld\"\nlisten = \"127.0.0.1:%d\"\nzone = "
-                                          "\"%s\"\nseeds = [\"127.0.0.1:%d\", \"127.0.0.1:%d\"]\n"
-                                          "folder = \"$TMPDIR\"\nperiod_ms = 400\nwait_s = [1.0, 1.5]\n",
-                                          cluster[n], zones[i], cluster[0], cluster[1]));
+    WriteAll(stem + ".cluster.toml",
+             Text("site = \"aarfeld\"\nlisten = \"127.0.0.%d:%d\"\ntold = \"127.0.0.%d:%d\"\nzone = \"%s\"\n"
+                  "seeds = [\"127.0.0.1:%d\", \"127.0.0.2:%d\"]\n"
+                  "folder = \"$TMPDIR\"\nperiod_ms = 400\nwait_s = [1.0, 1.5]\n",
+                  i + 1, cluster[n], i + 1, cluster_paths[n], zones[i], cluster_paths[0], cluster_paths[1]));
     flags.push_back(" --log-format json --cluster " + stem + ".cluster.toml");
     WriteAll(stem + ".council.toml", Text("site = \"aarfeld\"\nlisten = \"127.0.0.%d:%d\"\ntold = "
                                           "\"127.0.0.%d:%d\"\nfolder = \"$TMPDIR\"\n",
@@ -184,7 +204,7 @@
   if (trouble) {
     SleepMs(died + 4700 - NowMs());
     cut = true;
-    Rec("balancer-1 is cut off from the council");
+    Rec("balancer-1 is cut off from the others");
     SleepMs(killed + 7300 - NowMs());
   } else {
     SleepMs(died + 2000 - NowMs());  // back before anything is to be opened
@@ -193,7 +213,7 @@
   if (!all[3]->Up(5000)) End(2, "balancer-4 did not come back");
   const double back = NowMs();
   Rec("balancer-4 is back, %.1f s after its end", (NowMs() - killed) / 1000);
-  SleepMs(trouble ? died + 4700 + 8000 - NowMs() : 9000);
+  SleepMs(trouble ? died + 4700 + 6000 - NowMs() : 9000);
   const std::string before = status(1);
   const uint64_t second_epoch = epoch(before);
   Rec("before the cut ends, at the leader: %s", before.c_str());
