World: channels in memory, and councils of the real code on a virtual clock

Cause: nothing played src/council's member but real processes, so an order of events such as a connection that is cut across a change of owner could not be forced in a test. The virtual machine had no message channels, on which operators' calls come, and its scheduler could run only once.

--- a/src/io/scheduler.h
+++ b/src/io/scheduler.h
@@ -31,6 +31,9 @@
   virtual void Stop() { stopped_ = true; }
 
  protected:
+  // Resumes the coroutines that are ready, then polls for external events and wakes those whose time has
+  // come.
+  void RunOnce();
   // Waits for external events, at most until `until` and not at all if that is in the past, and notifies
   // their signals. Resumes no coroutine.
   virtual void Poll(Micros until) = 0;
@@ -40,8 +43,6 @@
   friend class Waiter;
   using Timers = std::multimap<Micros, Waiter*>;
 
-  void RunOnce();
-
   bool stopped_ = false;
   Micros last_poll_at_ = 0;
   Timers timers_;
--- a/src/world/virtual_machine.cpp
+++ b/src/world/virtual_machine.cpp
@@ -19,11 +19,17 @@
 }  // namespace
 
 void VirtualScheduler::Poll(Micros until) {
-  if (until == kNever) {
+  if (until == kNever && run_until_ == kNever) {
     deadlocked_ = true;
     return StopAll();
   }
-  now_ = std::max(now_ + 1, until);
+  now_ = std::max(now_ + 1, std::min(until, run_until_));
+}
+
+void VirtualScheduler::RunFor(Micros span) {
+  run_until_ = now_ + span;
+  while (now_ < run_until_) RunOnce();
+  run_until_ = kNever;
 }
 
 // ---- Connections -----------------------------------------------------------------------------------------
@@ -274,10 +280,11 @@
     throw std::system_error(std::make_error_code(std::errc::bad_file_descriptor),
                             "descriptor " + std::to_string(descriptor));
   }
-  std::unique_ptr<Channel> ConnectChannel(const std::string&) override { return nullptr; }
-  std::unique_ptr<ChannelListener> ListenOnChannel(const std::string&, std::string& why) override {
-    why = "channels are not simulated";
-    return nullptr;
+  std::unique_ptr<Channel> ConnectChannel(const std::string& path) override {
+    return ConnectVirtualChannel(world_.scheduler, world_.channels, path);
+  }
+  std::unique_ptr<ChannelListener> ListenOnChannel(const std::string& path, std::string&) override {
+    return ListenOnVirtualChannel(world_.scheduler, world_.channels, path);
   }
   std::unique_ptr<Writable> DatagramWriterTo(const Address&) override { return nullptr; }
 
--- a/src/world/virtual_machine.h
+++ b/src/world/virtual_machine.h
@@ -16,6 +16,7 @@
 #include <string>
 
 #include "io/machine.h"
+#include "world/virtual_channel.h"
 
 namespace burlfall::world {
 
@@ -33,7 +34,9 @@
   }
   // Advances the clock while a coroutine runs: simulates a stall of the whole process.
   void AdvanceClock(Micros span) { now_ += span; }
-  void StopAll() { Scheduler::Stop(); }            // ends Run() for all machines
+  void StopAll() { Scheduler::Stop(); }  // ends Run() for all machines
+  // Runs all machines for this time of the clock, and returns. Without StopAll() it can be called again.
+  void RunFor(Micros span);
   bool deadlocked() const { return deadlocked_; }  // nothing was ready and no timer was set
   std::function<void()> on_stop;
 
@@ -44,6 +47,7 @@
 
  private:
   Micros now_;
+  Micros run_until_ = kNever;  // end of the present RunFor()
   bool deadlocked_ = false;
 };
 
@@ -56,7 +60,8 @@
   std::mt19937_64 random;
   std::map<std::string, VirtualListener*> listeners;  // by address
   std::map<std::string, VirtualSocket*> sockets;      // datagram sockets, by address
-  std::map<std::string, std::string> files;           // by path
+  ChannelListeners channels;
+  std::map<std::string, std::string> files;  // by path
   int last_port = 20000;
 };
 
