Council: what an owner of before has proposed has no effect, however late it arrives

Cause, by a trace of what each member proposes and applies on the code as it was (a trial): balancer-1 proposes under epoch 13 within its lease, into the cut connection; 5.2 s later all members apply that entry, while the log says that freeze is owned under 61. Nothing was proposed after the cut. freeze::State::Apply compared the epoch only with that of an earlier command of the owner; the grants in the same log were not asked. ejection::State::AcceptEpoch had the same comparison.

Change: council::State asks owner::State::CheckEpoch before it hands on a command that an owner has sent, and has it refused where its epoch does not own the work at that entry. That is a function of the log, so every replica decides alike. New event council_entry_refused.

--- a/src/council/coordinator_member.cpp
+++ b/src/council/coordinator_member.cpp
@@ -511,6 +511,12 @@
   if (entry.kind == consensus::Entry::Kind::kCommand) {
     const council::ApplyResult result = state_.Apply(entry.index, entry.log_time, entry.data);
     if (!result.recognized) LogDropped("an entry that this build does not know", "the log");
+    if (const auto& stale = result.stale_command) {
+      log_.Emit<"council_entry_refused">(entry.index, stale->task, stale->by, stale->epoch, stale->last_epoch,
+                                         owner::NameOf(stale->error));
+      AddHistory("entry " + std::to_string(entry.index) + " for " + stale->task + " has no effect: epoch " +
+                 std::to_string(stale->epoch) + ", " + owner::NameOf(stale->error));
+    }
     OnOwnerEffects(result.owner);
     OnFreezeEffects(result.freeze);
     recent_results_[entry.index] = result;
--- a/src/council/state.cpp
+++ b/src/council/state.cpp
@@ -27,6 +27,13 @@
   return data += ejection::EncodeCommand(command);
 }
 
+owner::Error State::CheckEpoch(const std::string& task, uint64_t epoch, const std::string& by,
+                               ApplyResult& result) const {
+  const owner::Error error = owner_.CheckEpoch(task, epoch);
+  if (error != owner::Error::kNone) result.stale_command = {task, by, epoch, owner_.EpochOf(task), error};
+  return error;
+}
+
 ApplyResult State::Apply(uint64_t index, Micros log_time, std::string_view data) {
   ApplyResult result;
   result.index = index;
@@ -41,13 +48,21 @@
   }
   if (data[0] == static_cast<char>(CommandOwner::kFreeze)) {
     if (const auto command = freeze::ReadCommand(command_bytes)) {
-      result.freeze = freeze_.Apply(index, log_time, *command);
+      owner::Error epoch_error = owner::Error::kNone;
+      if (freeze::ActsForOwner(*command))
+        epoch_error = CheckEpoch(owner::kFreezeTask, command->coordinator, command->who.name, result);
+      result.freeze = freeze_.Apply(index, log_time, *command, epoch_error);
       result.recognized = true;
     }
   }
   if (data[0] == static_cast<char>(CommandOwner::kEjection)) {
     if (const auto command = ejection::DecodeCommand(command_bytes)) {
-      result.ejection = ejection_.Apply(index, log_time, *command);
+      bool epoch_owns_count = true;
+      if (ejection::ActsForOwner(*command)) {
+        epoch_owns_count =
+            CheckEpoch(owner::kEjectionTask, command->epoch, "", result) == owner::Error::kNone;
+      }
+      result.ejection = ejection_.Apply(index, log_time, *command, epoch_owns_count);
       result.recognized = true;
     }
   }
--- a/src/council/state.h
+++ b/src/council/state.h
@@ -23,10 +23,21 @@
 std::string Envelope(const freeze::Command& command);
 std::string Envelope(const ejection::Command& command);
 
+// A command of a task's owner that had no effect, because its epoch did not own the task at its entry: the
+// task had gone to another owner, or to nobody, by the time the command entered the log.
+struct StaleCommand {
+  std::string task;
+  std::string by;  // the member; empty if the command does not name it
+  uint64_t epoch = 0;
+  uint64_t last_epoch = 0;  // of the task
+  owner::Error error = owner::Error::kFenced;
+};
+
 // The effects of one applied entry.
 struct ApplyResult {
   uint64_t index = 0;
   bool recognized = true;  // false: this build does not know the command, and the state is unchanged
+  std::optional<StaleCommand> stale_command;
   owner::Effects owner;
   freeze::Effects freeze;
   ejection::Effects ejection;
@@ -46,6 +57,10 @@
   const ejection::State& ejection() const { return ejection_; }
 
  private:
+  // The error of a command that was sent under this epoch of the task; records a stale one in `result`.
+  owner::Error CheckEpoch(const std::string& task, uint64_t epoch, const std::string& by,
+                          ApplyResult& result) const;
+
   owner::State owner_;
   freeze::State freeze_;
   ejection::State ejection_;
--- a/src/ejection/names.cpp
+++ b/src/ejection/names.cpp
@@ -16,6 +16,10 @@
   }
 }
 
+bool ActsForOwner(const Command& command) {
+  return command.what == Command::What::kHosts || command.what == Command::What::kCount;
+}
+
 const char* NameOf(Kind kind) {
   switch (kind) {
     case Kind::kSilent:
--- a/src/ejection/state.cpp
+++ b/src/ejection/state.cpp
@@ -43,7 +43,7 @@
 
 }  // namespace
 
-Effects State::Apply(uint64_t index, Micros at, const Command& command) {
+Effects State::Apply(uint64_t index, Micros at, const Command& command, bool epoch_owns_count) {
   Effects effects;
   if (index <= index_) return effects;
   index_ = index;
@@ -79,14 +79,14 @@
       refusal = ApplyOperatorCommand(command, effects);
       break;
     case Command::What::kHosts:
-      if (AcceptEpoch(command.epoch)) {
+      if (AcceptEpoch(command.epoch, epoch_owns_count)) {
         ApplyGroup(command.group, effects);
       } else {
         refusal = Refusal::kFenced;
       }
       break;
     case Command::What::kCount:
-      if (AcceptEpoch(command.epoch)) {
+      if (AcceptEpoch(command.epoch, epoch_owns_count)) {
         CountVotes(effects);
       } else {
         refusal = Refusal::kFenced;
@@ -104,8 +104,8 @@
   return effects;
 }
 
-bool State::AcceptEpoch(uint64_t epoch) {
-  if (epoch < epoch_) return rules_.injected.stale_owner_accepted;
+bool State::AcceptEpoch(uint64_t epoch, bool owns_count) {
+  if (epoch < epoch_ || !owns_count) return rules_.injected.stale_owner_accepted;
   if (epoch > epoch_) {
     epoch_ = epoch;
     owner_index_ = index_;
--- a/src/ejection/state.h
+++ b/src/ejection/state.h
@@ -110,6 +110,8 @@
 // Name of the balancer or operator that a command comes from. The transport lets a balancer propose only
 // commands of its own. Empty for the commands of the owner and the leader.
 const std::string& SenderOf(const Command& command);
+// Whether the command is sent by the owner of the count, under `epoch`.
+bool ActsForOwner(const Command& command);
 constexpr size_t kMaxCommandBytes = 8 << 20;
 std::string EncodeCommand(const Command& command);
 // Returns nothing if the bytes are no command, are damaged or exceed a bound.
@@ -219,8 +221,9 @@
   explicit State(Rules rules) : rules_(rules) {}
 
   // Applies the log entry `index` with the time stamp `at`. An entry up to the last applied index is ignored.
-  // A stamp before the last one counts as the last one.
-  Effects Apply(uint64_t index, Micros at, const Command& command);
+  // A stamp before the last one counts as the last one. `epoch_owns_count`: false if the epoch of a kHosts or
+  // kCount is not that of the owner of the count at this entry; then the command is refused as fenced.
+  Effects Apply(uint64_t index, Micros at, const Command& command, bool epoch_owns_count = true);
 
   // Council time at which the leader proposes kExpire and the owner kCount if no other entry comes first.
   // kNever: the state does not wait for a time.
@@ -299,7 +302,7 @@
   Refusal ApplyGoodReport(const GoodReport& good);
   Refusal ApplyTrial(const Command& command, Effects& effects);
   Refusal ApplyOperatorCommand(const Command& command, Effects& effects);
-  bool AcceptEpoch(uint64_t epoch);
+  bool AcceptEpoch(uint64_t epoch, bool owns_count);
   void ApplyGroup(const Group& group, Effects& effects);
   void ExpireDue(Effects& effects);
   void UpdateSuspects(Effects& effects);
--- a/src/freeze/freeze.cpp
+++ b/src/freeze/freeze.cpp
@@ -81,6 +81,8 @@
 
 }  // namespace
 
+bool ActsForOwner(const Command& command) { return command.observed || command.coordinator != 0; }
+
 const char* NameOf(End end) {
   constexpr const char* kNames[] = {"open", "done", "undone", "abandoned", "refused"};
   return kNames[static_cast<size_t>(end)];
@@ -659,7 +661,7 @@
   AddToHistory(std::move(entry));
 }
 
-Effects State::Apply(uint64_t index, Micros at, const Command& command) {
+Effects State::Apply(uint64_t index, Micros at, const Command& command, Error epoch_error) {
   using Kind = Command::Kind;
   council_time_ = std::max(council_time_, at);
   Effects effects;
@@ -667,6 +669,10 @@
     Refuse(command, Error::kMalformed, effects);
     return effects;
   }
+  if (epoch_error != Error::kNone) {
+    Refuse(command, epoch_error, effects);
+    return effects;
+  }
   if (command.coordinator != 0) {
     if (command.coordinator < coordinator_) {
       Refuse(command, Error::kFenced, effects);
--- a/src/freeze/freeze.h
+++ b/src/freeze/freeze.h
@@ -92,6 +92,8 @@
 // The leader proposes what ReadCommand() makes of these bytes, so that all replicas apply the same. It reads
 // them back first and refuses as malformed what it can't read (control characters, a text that is too long).
 std::string Write(const Command& command);
+// Whether the command is sent by the owner of the task "freeze", under the epoch `coordinator`.
+bool ActsForOwner(const Command& command);
 // empty: corrupted, of another version, or too long
 std::optional<Command> ReadCommand(std::string_view bytes);
 
@@ -242,8 +244,10 @@
   State() = default;
   explicit State(Faults faults) : faults_(faults) {}
 
-  // `index` increases from entry to entry; `at` is council time.
-  Effects Apply(uint64_t index, Micros at, const Command& command);
+  // `index` increases from entry to entry; `at` is council time. `epoch_error`: why the epoch under which the
+  // command was sent is not that of the owner of the task "freeze" at this entry
+  // (owner::State::CheckEpoch()); such a command has no effect and is refused with this error.
+  Effects Apply(uint64_t index, Micros at, const Command& command, Error epoch_error = Error::kNone);
 
   std::string Save() const;
   static std::optional<State> Load(std::string_view bytes);
--- a/src/owner/owner.cpp
+++ b/src/owner/owner.cpp
@@ -328,6 +328,13 @@
   return std::max(floor_, found == tasks_.end() ? 0 : found->second.epoch);
 }
 
+Error State::CheckEpoch(const std::string& task, uint64_t epoch) const {
+  if (epoch <= floor_ || epoch < EpochOf(task)) return Error::kFenced;
+  const auto found = tasks_.find(task);
+  if (found == tasks_.end() || epoch != found->second.epoch) return Error::kNotOwner;
+  return found->second.owner ? Error::kNone : Error::kLeaseOver;
+}
+
 std::vector<Lease> State::Leases() const {
   std::vector<Lease> leases;
   for (const auto& [name, task] : tasks_) {
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -141,6 +141,10 @@
   // The last epoch granted for this task, or 0 if there was none, and never below the floor. An executor
   // without a disk gets it through a linearizable read.
   uint64_t EpochOf(const std::string& task) const;
+  // Whether a command on behalf of the task's owner may take effect at this point of the log: kNone if the
+  // task is owned under this epoch. kFenced: a later epoch was granted, or the floor is not below this one.
+  // kLeaseOver: the owner released the task or its lease expired. kNotOwner: this epoch was never granted.
+  Error CheckEpoch(const std::string& task, uint64_t epoch) const;
   // All current leases, for LeaseExpiry; the key is the name of the task.
   std::vector<Lease> Leases() const;
   const Rules& rules() const { return rules_; }
