Council: an executor refuses an owner of before once its own log names another

A new owner that stands still before its first act left its executors obeying the owner of before: three acts under the earlier epoch were obeyed after a cut.

Cause: the executor knew of a higher epoch only from an act that came under it, and from its file. The grant in its own copy of the log was not looked at.

That log may be behind, so it never makes an epoch current.

--- a/src/council/coordinator_member.cpp
+++ b/src/council/coordinator_member.cpp
@@ -502,6 +502,7 @@
                         applied.snapshot->voters.empty() ? "" : applied.snapshot->voters[0].id.name);
     state_ = std::move(*state);
     applied_ = applied.snapshot->index;
+    RefuseOwnersOfBefore();
     for (Event* waiter : applied_waiters_) waiter->Notify();
     return;
   }
@@ -518,6 +519,7 @@
                  std::to_string(stale->epoch) + ", " + owner::NameOf(stale->error));
     }
     OnOwnerEffects(result.owner);
+    if (!result.owner.empty()) RefuseOwnersOfBefore();
     OnFreezeEffects(result.freeze);
     recent_results_[entry.index] = result;
     if (recent_results_.size() > kMaxRecentResults) recent_results_.erase(recent_results_.begin());
@@ -1252,6 +1254,15 @@
   }
 }
 
+void CoordinatorMember::RefuseOwnersOfBefore() {
+  const std::map<std::string, uint64_t> known_epochs = executor_->highest_epochs();
+  bool news = false;
+  for (const auto& [task, epoch] : known_epochs) {
+    if (executor_->RefuseBelow(task, state_.owner().EpochOf(task))) news = true;
+  }
+  if (news) CheckPendingActions();
+}
+
 // An executor whose file is missing accepts no action of a task before it has read the task's current epoch
 // from the leader.
 Task<> CoordinatorMember::LearnEpochs() {
@@ -1263,7 +1274,8 @@
       const MemberMessage reply =
           co_await AskLeader(std::move(message), machine_.Now() + settings_.ask_ms * kMs);
       if (reply.error == Error::kNone) {
-        executor_->SetCurrentEpoch(work, reply.epoch);
+        // The answer may have been on its way while the log went on.
+        executor_->SetCurrentEpoch(work, std::max(reply.epoch, state_.owner().EpochOf(work)));
         unknown_epochs_.erase(work);
         CheckPendingActions();
       } else {
--- a/src/council/coordinator_member.h
+++ b/src/council/coordinator_member.h
@@ -189,6 +189,8 @@
   void OnAction(const council::MemberMessage& message, uint64_t connection);
   void CheckPendingActions();
   Task<> LearnEpochs();
+  // Makes the executor refuse the owners of before that the own replica of the log knows of.
+  void RefuseOwnersOfBefore();
 
   // Operators' requests.
   Task<> AcceptOperators();
--- a/src/owner/executor.cpp
+++ b/src/owner/executor.cpp
@@ -54,6 +54,13 @@
   highest_epochs = std::max(highest_epochs, epoch);
 }
 
+bool Executor::RefuseBelow(const std::string& task, uint64_t epoch) {
+  const auto known = highest_epochs_.find(task);
+  if (known == highest_epochs_.end() || known->second >= epoch) return false;
+  known->second = epoch;
+  return true;
+}
+
 std::optional<Executor::Write> Executor::NextWrite() {
   if (!rules_.disk || write_in_flight_ || highest_epochs_ == written_epochs_) return std::nullopt;
   Writer to;
--- a/src/owner/executor.h
+++ b/src/owner/executor.h
@@ -46,6 +46,11 @@
   // owner.
   void SetCurrentEpoch(const std::string& task, uint64_t epoch);
 
+  // Accepts no epoch of this task below `epoch` from now on: the log has granted that one, or ruled out the
+  // lower ones. Without effect on a task that is not known here, as the council must give its epoch first.
+  // Returns whether it was news.
+  bool RefuseBelow(const std::string& task, uint64_t epoch);
+
   // The whole file, to be written and flushed at once; pass `number` to OnWritten(). Empty: nothing to write,
   // or a write is in flight.
   struct Write {
--- a/tests/council/stale_owner_test.cpp
+++ b/tests/council/stale_owner_test.cpp
@@ -57,5 +57,26 @@
 
 INSTANTIATE_TEST_SUITE_P(Council, StaleOwner, testing::Bool());
 
+// The same cause at an executor: its own log names another owner, which has not acted yet, and it obeys the
+// one of before.
+TEST(Executors, RefuseAnOwnerOfBeforeOnceTheirLogNamesAnother) {
+  VirtualCouncil council(3, 0, 1);
+  council.SettingsOf(1).step_ms = 3000;  // it stands still before each act
+  council.SettingsOf(2).wants.clear();
+  council.StartAll();
+  council.Begin(2);  // m3 leads
+  ASSERT_TRUE(council.MakeOwner(0));
+  const std::vector<uint64_t> first_epoch = {council.OwnerAt(2).epoch};
+  ASSERT_TRUE(council.RunUntil([&] { return council.ObeyedBy(2) == first_epoch; }));
+  council.Cut(0, true);
+  ASSERT_TRUE(council.RunUntil([&] { return council.OwnerAt(2).name == "m2"; }));
+  const VirtualCouncil::Acts before = council.ActsAt(2);
+  council.Cut(0, false);
+  council.RunFor(kSecond);
+  ASSERT_EQ(council.ObeyedBy(2), first_epoch) << "m2 has not acted yet";
+  EXPECT_EQ(council.ActsAt(2).obeyed, before.obeyed);
+  EXPECT_GT(council.ActsAt(2).refused, before.refused) << "no act of m1 has arrived";
+}
+
 }  // namespace
 }  // namespace burlfall::council
--- a/tests/council/virtual_council.cpp
+++ b/tests/council/virtual_council.cpp
@@ -165,6 +165,11 @@
   return {};
 }
 
+VirtualCouncil::Acts VirtualCouncil::ActsAt(size_t member) {
+  const nlohmann::json status = ParseObject(Call(member, "status json"));
+  return {status.value("obeyed", uint64_t{0}), status.value("fenced", uint64_t{0})};
+}
+
 std::vector<uint64_t> VirtualCouncil::ObeyedBy(size_t member, size_t from) const {
   std::vector<uint64_t> epochs;
   std::istringstream lines(LogOf(member).substr(from));
--- a/tests/council/virtual_council.h
+++ b/tests/council/virtual_council.h
@@ -57,6 +57,12 @@
     uint64_t epoch = 0;
   };
   Owner OwnerAt(size_t member);
+  // From the same: how many acts of owners it has obeyed and refused.
+  struct Acts {
+    uint64_t obeyed = 0;
+    uint64_t refused = 0;
+  };
+  Acts ActsAt(size_t member);
   // The log of all processes of the member so far, as lines of JSON.
   const std::string& LogOf(size_t member) const { return members_[member].machine->standard_error_text; }
   // The epochs of "freeze" that the member has obeyed since byte `from` of its log.
--- a/tests/owner/executor_test.cpp
+++ b/tests/owner/executor_test.cpp
@@ -59,6 +59,22 @@
   EXPECT_EQ(restored.Check("list_call", 1).error, Error::kNotTold);
 }
 
+TEST(Executor, RefusesWhatTheLogHasRuledOutAlsoAfterARestart) {
+  Executor executor(WithDisk());
+  EXPECT_FALSE(executor.RefuseBelow("freeze", 20));
+  EXPECT_EQ(executor.Check("freeze", 20).error, Error::kNotTold) << "what the own log says may be old";
+  executor.SetCurrentEpoch("freeze", 5);
+  EXPECT_TRUE(executor.RefuseBelow("freeze", 20));
+  EXPECT_FALSE(executor.RefuseBelow("freeze", 20));
+  EXPECT_FALSE(executor.RefuseBelow("freeze", 6)) << "it never goes back";
+  EXPECT_EQ(executor.Check("freeze", 19).error, Error::kFenced);
+  const std::optional<Executor::Write> write = executor.NextWrite();
+  ASSERT_TRUE(write);
+  executor.OnWritten(write->number, true);
+  EXPECT_TRUE(executor.Check("freeze", 20).ok());
+  EXPECT_EQ(Executor(WithDisk(), write->bytes).Check("freeze", 19).error, Error::kFenced);
+}
+
 TEST(Executor, ADamagedFileIsIgnoredAndReported) {
   Executor executor(WithDisk());
   executor.SetCurrentEpoch("freeze", 5);
