Council: a log that is begun anew starts with its floor, so no owner of before is obeyed

Cause, by a trace of what an executor without its file is told (a trial): each voter reads the epoch of freeze at entry 1000002 and is told 0, its state's floor being 0. BootstrapLog() gave the number to the log's index alone, and nobody proposed the floor; until the work is granted anew its epoch is the floor's.

Who applies it gives up what it owned and refuses all epochs up to it, on its disk as well (event council_begun_anew). A number that leaves no room for epochs is refused.

--- a/src/consensus/core.cpp
+++ b/src/consensus/core.cpp
@@ -92,10 +92,11 @@
   return "?";
 }
 
-PersistentState BootstrapState(const Voter& self, uint64_t index_floor) {
+PersistentState BootstrapState(const Voter& self, uint64_t index_floor, std::string state) {
   PersistentState stored;
   stored.snapshot.index = index_floor;
   stored.snapshot.voters = {self};
+  stored.snapshot.data = std::move(state);
   return stored;
 }
 
--- a/src/council/coordinator_member.cpp
+++ b/src/council/coordinator_member.cpp
@@ -1255,6 +1255,21 @@
 }
 
 void CoordinatorMember::RefuseOwnersOfBefore() {
+  const uint64_t floor = state_.owner().floor();
+  if (floor > logged_floor_) {
+    log_.Emit<"council_begun_anew">(floor);
+    AddHistory("begun anew above " + std::to_string(floor));
+    logged_floor_ = floor;
+  }
+  for (const auto& wanted : wanted_tasks_) {
+    const uint64_t epoch = wanted->holder.epoch();
+    if (!wanted->holder.owns()) continue;
+    const Error error = state_.owner().CheckEpoch(TaskNameOf(*wanted), epoch);
+    if (error == Error::kNone) continue;
+    wanted->holder.OnFenced(epoch);
+    log_.Emit<"council_lost">(TaskNameOf(*wanted), epoch, owner::NameOf(error));
+    wanted->changed.Notify();
+  }
   const std::map<std::string, uint64_t> known_epochs = executor_->highest_epochs();
   bool news = false;
   for (const auto& [task, epoch] : known_epochs) {
@@ -1456,8 +1471,14 @@
   for (const CouncilVoter& voter : settings_.voters) {
     if (voter.name == setup_.name) own = voter.address;
   }
+  std::string beginning;
+  if (floor > 0) {
+    const std::optional<council::State> above = council::State::AboveFloor(floor, setup_.name);
+    if (!above) co_return ErrorText(Error::kMalformed, "The number is too high.");
+    beginning = above->Save();
+  }
   const consensus::PersistentState bootstrap_state =
-      consensus::BootstrapState({{setup_.name, store_->disk()}, own}, floor);
+      consensus::BootstrapState({{setup_.name, store_->disk()}, own}, floor, std::move(beginning));
   core_.reset();
   bootstrap_written_ = false;
   pending_log_writes_.push_back(0);
--- a/src/council/coordinator_member.h
+++ b/src/council/coordinator_member.h
@@ -189,7 +189,8 @@
   void OnAction(const council::MemberMessage& message, uint64_t connection);
   void CheckPendingActions();
   Task<> LearnEpochs();
-  // Makes the executor refuse the owners of before that the own replica of the log knows of.
+  // Makes the executor refuse the owners of before that the own replica of the log knows of, and this
+  // member's own holders give up what the log says is no longer theirs.
   void RefuseOwnersOfBefore();
 
   // Operators' requests.
@@ -256,6 +257,7 @@
   std::deque<PendingAction> pending_actions_;
   std::set<std::string> unknown_epochs_;                // tasks whose epoch must be read from the leader
   std::map<std::string, uint64_t> logged_epochs_;       // by task: the last accepted epoch that was logged
+  uint64_t logged_floor_ = 0;                           // of the epochs in the own replica
   std::map<std::string, uint64_t> action_connections_;  // by task: where its last action came from
 
   std::vector<std::string> history_;    // lines for `burlfall council explain`
--- a/src/council/state.cpp
+++ b/src/council/state.cpp
@@ -27,6 +27,17 @@
   return data += ejection::EncodeCommand(command);
 }
 
+std::optional<State> State::AboveFloor(uint64_t floor, const std::string& by) {
+  owner::Command command;
+  command.kind = owner::Command::Kind::kFloor;
+  command.epoch = floor;
+  command.by = by;
+  State state;
+  state.owner_.Apply(floor, 0, command);
+  if (state.owner_.floor() != floor) return {};
+  return state;
+}
+
 owner::Error State::CheckEpoch(const std::string& task, uint64_t epoch, const std::string& by,
                                ApplyResult& result) const {
   const owner::Error error = owner_.CheckEpoch(task, epoch);
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -406,6 +406,13 @@
      "council: {who} could not be brought in: {why}",
      "It did not catch up in time, or the leader changed. It is tried again for as long as this one leads.",
      {{{"who", kText, "its name"}, {"why", kText, "what went wrong"}}}},
+    {"council_begun_anew",
+     LogLevel::kWarning,
+     "council: begun anew: no epoch up to {floor} counts any more",
+     "An operator's `begin NUMBER`, as this member hears of it. It gives up what it owned, and refuses every "
+     "owner "
+     "of before.",
+     {{{"floor", kNumber, "the number that the operator gave"}}}},
     {"council_granted",
      LogLevel::kInfo,
      "council: {work} is {owner}'s, epoch {epoch}",
--- /dev/null
+++ b/tests/council/new_beginning_test.cpp
@@ -0,0 +1,89 @@
+// A council that is begun anew after all voters have lost their folders: no owner of before is obeyed.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "virtual_council.h"
+
+namespace burlfall::council {
+namespace {
+
+constexpr size_t kVoters = 3;
+constexpr size_t kOwner = 3;     // a member that follows, and owns the work before
+constexpr size_t kFollower = 4;  // another
+constexpr uint64_t kFloor = 1'000'000;
+
+// A council whose voters have lost their folders, while the owner's lease still runs.
+class NewBeginning : public testing::Test {
+ protected:
+  NewBeginning() : council(kVoters, 2, 1) {
+    for (size_t i = 0; i < kVoters + 2; ++i) council.SettingsOf(i).lease_s = 20;
+    council.StartAll();
+    council.Begin(0);
+    EXPECT_TRUE(council.MakeOwner(kOwner));
+    epoch = council.OwnerAt(0).epoch;
+    EXPECT_TRUE(council.RunUntil([&] { return Obeys(0) && Obeys(kFollower); }));
+    council.RunFor(kSecond);
+    for (size_t i = 0; i < kVoters; ++i) council.Stop(i);
+    for (size_t i = 0; i < kVoters; ++i) council.LoseFolder(i);
+    for (size_t i = 0; i < kVoters + 2; ++i) log_begins.push_back(council.LogOf(i).size());
+    for (size_t i = 0; i < kVoters; ++i) council.Start(i);
+    council.RunFor(6 * kSecond);  // acts of the owner wait at the voters
+  }
+  bool Obeys(size_t member) {
+    const std::vector<uint64_t> obeyed = council.ObeyedBy(member);
+    return !obeyed.empty() && obeyed.back() == epoch;
+  }
+  std::vector<uint64_t> ObeyedSince(size_t member) { return council.ObeyedBy(member, log_begins[member]); }
+  bool Tells(size_t member, const std::string& event) {
+    return council.LogOf(member).find("\"" + event + "\"", log_begins[member]) != std::string::npos;
+  }
+
+  VirtualCouncil council;
+  uint64_t epoch = 0;
+  std::vector<size_t> log_begins;
+};
+
+// Guards against review/7: executors without their files were told that the work never had an owner, and
+// obeyed the one of before.
+TEST_F(NewBeginning, VotersWithoutTheirFilesObeyNoOwnerOfBefore) {
+  ASSERT_EQ(council.Call(0, "begin " + std::to_string(kFloor)).substr(0, 1), "t") << "the log begins here";
+  ASSERT_TRUE(council.RunUntil([&] {
+    for (size_t i = 0; i < kVoters; ++i) {
+      if (ObeyedSince(i).empty()) return false;
+    }
+    return true;
+  })) << "all voters obey the owner of now";
+  council.RunFor(12 * kSecond);
+  for (size_t i = 0; i < kVoters; ++i) {
+    for (const uint64_t obeyed : ObeyedSince(i)) EXPECT_GT(obeyed, kFloor) << "m" << i + 1;
+  }
+  EXPECT_GT(council.OwnerAt(0).epoch, kFloor);
+}
+
+// Those that have their files, and the owner itself, are told by the new log, before anybody owns the work
+// anew.
+TEST_F(NewBeginning, WhoHearsOfItStopsAndRefusesTheOwnerOfBefore) {
+  for (size_t i = 0; i < kVoters; ++i) council.Stop(i);
+  for (size_t i = 0; i < kVoters; ++i) {
+    council.SettingsOf(i).wants.clear();
+    council.Start(i);
+  }
+  council.Call(0, "begin " + std::to_string(kFloor));
+  ASSERT_TRUE(council.RunUntil([&] { return Tells(kOwner, "council_begun_anew"); }));
+  ASSERT_TRUE(council.RunUntil([&] { return Tells(kFollower, "council_begun_anew"); }));
+  EXPECT_TRUE(Tells(kOwner, "council_lost")) << council.LogOf(kOwner);
+  council.RunFor(12 * kSecond);
+  for (size_t i = 0; i < kVoters + 2; ++i) {
+    for (const uint64_t obeyed : ObeyedSince(i)) EXPECT_GT(obeyed, kFloor) << "m" << i + 1;
+  }
+  // Also after a restart, and with a log that goes on behind a snapshot.
+  council.Stop(kFollower);
+  council.Start(kFollower);
+  council.RunFor(12 * kSecond);
+  for (const uint64_t obeyed : ObeyedSince(kFollower)) EXPECT_GT(obeyed, kFloor);
+  EXPECT_GT(council.OwnerAt(kFollower).epoch, kFloor);
+}
+
+}  // namespace
+}  // namespace burlfall::council
--- a/tests/council/stale_owner_test.cpp
+++ b/tests/council/stale_owner_test.cpp
@@ -78,5 +78,31 @@
   EXPECT_GT(council.ActsAt(2).refused, before.refused) << "no act of m1 has arrived";
 }
 
+// An executor that has lost its file asks the council, and obeys only the owner of now.
+TEST(Executors, WithoutTheirFilesAreToldTheEpochOfNow) {
+  VirtualCouncil council(3, 1, 1);
+  council.SettingsOf(1).step_ms = 3000;
+  council.StartAll();
+  council.Begin(2);
+  ASSERT_TRUE(council.MakeOwner(0));
+  const uint64_t first_epoch = council.OwnerAt(2).epoch;
+  council.Cut(0, true);
+  ASSERT_TRUE(council.RunUntil([&] { return council.OwnerAt(2).epoch > first_epoch; }));
+  std::vector<size_t> log_begins(4, 0);
+  for (const size_t member : {size_t{2}, size_t{3}}) {
+    council.Stop(member);
+    council.LoseFile(member, ".epochs");
+    log_begins[member] = council.LogOf(member).size();
+    council.Start(member);
+  }
+  council.Cut(0, false);
+  council.RunFor(10 * kSecond);
+  for (const size_t member : {size_t{2}, size_t{3}}) {
+    const std::vector<uint64_t> obeyed = council.ObeyedBy(member, log_begins[member]);
+    ASSERT_FALSE(obeyed.empty());
+    for (const uint64_t epoch : obeyed) EXPECT_GT(epoch, first_epoch);
+  }
+}
+
 }  // namespace
 }  // namespace burlfall::council
