Council: begin is refused below an epoch that the voter has heard of

What callers saw: nothing in service; found beside review/7.

Cause: BootstrapLog() asked the other voters for their logs and looked at no epoch.

Change: after the others were asked, a number below the highest epoch that this voter knows of is refused as majority_lost, with that epoch: from its log, from its executor's file, or from an act that waits for an answer.

--- a/src/council/coordinator_member.cpp
+++ b/src/council/coordinator_member.cpp
@@ -1278,6 +1278,13 @@
   if (news) CheckPendingActions();
 }
 
+uint64_t CoordinatorMember::HighestKnownEpoch() const {
+  uint64_t highest = state_.owner().last_epoch();
+  for (const auto& [task, epoch] : executor_->highest_epochs()) highest = std::max(highest, epoch);
+  for (const PendingAction& action : pending_actions_) highest = std::max(highest, action.message.epoch);
+  return highest;
+}
+
 // An executor whose file is missing accepts no action of a task before it has read the task's current epoch
 // from the leader.
 Task<> CoordinatorMember::LearnEpochs() {
@@ -1465,6 +1472,8 @@
       co_return ErrorText(Error::kMalformed,
                           name + " has a log through " + std::to_string(known.last_index) + ".");
   }
+  if (const uint64_t known_epoch = HighestKnownEpoch(); known_epoch > floor)
+    co_return ErrorText(Error::kMajorityLost, "Epoch " + std::to_string(known_epoch) + " was given before.");
   if (known_voters_.size() + 1 < settings_.voters.size() && floor == 0)
     co_return ErrorText(Error::kNoMajority, "All voters must answer before a log can begin.");
   std::string own;
--- a/src/council/coordinator_member.h
+++ b/src/council/coordinator_member.h
@@ -192,6 +192,9 @@
   // Makes the executor refuse the owners of before that the own replica of the log knows of, and this
   // member's own holders give up what the log says is no longer theirs.
   void RefuseOwnersOfBefore();
+  // The highest epoch of any task that this member has heard of: from its log, from its executor's file, or
+  // from an act that waits for the council's answer.
+  uint64_t HighestKnownEpoch() const;
 
   // Operators' requests.
   Task<> AcceptOperators();
--- a/tests/council/new_beginning_test.cpp
+++ b/tests/council/new_beginning_test.cpp
@@ -47,7 +47,7 @@
 // Guards against review/7: executors without their files were told that the work never had an owner, and
 // obeyed the one of before.
 TEST_F(NewBeginning, VotersWithoutTheirFilesObeyNoOwnerOfBefore) {
-  ASSERT_EQ(council.Call(0, "begin " + std::to_string(kFloor)).substr(0, 1), "t") << "the log begins here";
+  ASSERT_TRUE(council.Call(0, "begin " + std::to_string(kFloor)).starts_with("the log begins here"));
   ASSERT_TRUE(council.RunUntil([&] {
     for (size_t i = 0; i < kVoters; ++i) {
       if (ObeyedSince(i).empty()) return false;
@@ -85,5 +85,21 @@
   EXPECT_GT(council.OwnerAt(kFollower).epoch, kFloor);
 }
 
+// The same owner would be obeyed after a beginning without a number, or with one below its epoch.
+TEST_F(NewBeginning, IsRefusedWithANumberBelowAnEpochThatWasGiven) {
+  for (const std::string& words : {std::string("begin"), "begin " + std::to_string(epoch - 1)}) {
+    const std::string answer = council.Call(0, words);
+    EXPECT_TRUE(answer.starts_with("!majority_lost: ")) << answer;
+    EXPECT_NE(answer.find("Epoch " + std::to_string(epoch) + " was given"), std::string::npos) << answer;
+  }
+  for (const char* words : {"begin 4611686018427387905", "begin 18446744073709551615"}) {
+    const std::string answer = council.Call(0, words);
+    EXPECT_TRUE(answer.starts_with("!malformed: ")) << answer;
+  }
+  council.RunFor(5 * kSecond);
+  for (size_t i = 0; i < kVoters; ++i) EXPECT_TRUE(ObeyedSince(i).empty()) << "m" << i + 1;
+  EXPECT_TRUE(council.Call(0, "begin " + std::to_string(epoch)).starts_with("the log begins here"));
+}
+
 }  // namespace
 }  // namespace burlfall::council
