Council: epochs are written again after a failed write

A member whose disk failed one write of its epochs obeyed no new owner any more until it was restarted (disk_lost for the 30 s that the test waits).

Cause: CheckPendingActions() took the next write from the executor also while the failed disk was closed and not yet opened again (100 ms), and dropped it; the executor waited for its end for good. An act in that time did it.

Change: nothing is taken from the executor while no disk is open.

--- a/src/council/coordinator_member.cpp
+++ b/src/council/coordinator_member.cpp
@@ -1248,7 +1248,8 @@
     }
     pending_actions_.erase(pending_actions_.begin() + static_cast<std::ptrdiff_t>(i));
   }
-  if (std::optional<owner::Executor::Write> write = executor_->NextWrite(); write && epoch_disk_) {
+  if (!epoch_disk_) return;  // it is opened again, which comes here
+  if (std::optional<owner::Executor::Write> write = executor_->NextWrite()) {
     pending_epoch_writes_.push_back(write->number);
     epoch_disk_->Write({{setup_.stem + ".epochs", {}, std::move(write->bytes)}});
   }
--- a/tests/council/virtual_council.h
+++ b/tests/council/virtual_council.h
@@ -34,7 +34,7 @@
   void Stop(size_t member);        // as a crash: the folder stays
   void LoseFolder(size_t member);  // of a member that is stopped
   void LoseFile(size_t member, const std::string& extension);
-  bool IsRunning(size_t member) const { return members_[member].process != nullptr; }
+  void FailNextFlush(size_t member) { members_[member].machine->flush_fails = true; }
 
   // Nothing passes between the member and all others, in both directions, until it is cut no more.
   // Connections stay open, and what is sent on them arrives afterwards.
