Council: the executor of owners' actions is a class of its own

Change: council::ActionExecutor holds it, and asks through two callbacks. The member calls owner::MakeExpireCommand, freeze::MakeExpireCommand, State::Leases and TrackLeases. Nothing in behaviour.

--- a/src/council/coordinator_member.cpp
+++ b/src/council/coordinator_member.cpp
@@ -23,8 +23,7 @@
 constexpr Micros kOperatorTimeout = 20 * kSecond;  // for one operator's call
 constexpr uint64_t kForwarded = 1;                 // in the `disk` field of an action
 constexpr size_t kMaxOperatorSessions = 8;
-constexpr size_t kMaxPendingActions = 256;  // actions that wait for the disk or for the group's epoch
-constexpr size_t kMaxPendingCalls = 2048;   // proposals and reads that wait for an answer
+constexpr size_t kMaxPendingCalls = 2048;  // proposals and reads that wait for an answer
 constexpr size_t kMaxJoining = 16;
 constexpr size_t kMaxRecentResults = 512;
 constexpr size_t kMaxFinishingChanges = 256;
@@ -140,7 +139,6 @@
       local_gate_(freeze_rules_, self_),
       observations_(freeze_rules_),
       timer_wakeup_(machine.scheduler()),
-      learn_wakeup_(machine.scheduler()),
       bootstrap_event_(machine.scheduler()),
       delay_(machine.scheduler()) {}
 
@@ -172,17 +170,19 @@
     if (!std::exchange(bind_failure_logged, true)) log_.Emit<"council_unavailable">(settings_.listen, why);
     co_await delay_.Wait(machine_.Now() + kBindRetryInterval);
   }
-  const std::optional<std::string> saved_epochs = machine_.files().Read(setup_.stem + ".epochs");
-  executor_.emplace(owner::ExecutorRules{.disk = true},
-                    saved_epochs ? std::optional<std::string_view>(*saved_epochs) : std::nullopt);
-  if (executor_->damaged()) log_.Emit<"council_disk">("damaged", setup_.stem + ".epochs");
+  executor_.emplace(
+      machine_, state_,
+      council::ActionExecutor::Setup{
+          setup_.name, setup_.stem + ".epochs",
+          [this](std::string task) { return ReadEpoch(std::move(task)); },
+          [this](uint64_t connection, const MemberMessage& reply) { ReplyToAction(connection, reply); }},
+      log_, counters_);
   if (const std::optional<std::string> saved_emergencies =
           machine_.files().Read(setup_.stem + ".emergencies");
       saved_emergencies && !local_gate_.Load(*saved_emergencies)) {
     log_.Emit<"council_disk">("damaged", setup_.stem + ".emergencies");
   }
-  epoch_disk_task_ = WatchEpochDisk();
-  epoch_disk_task_.Start();
+  executor_->Start();
   const bool votes =
       std::ranges::any_of(settings_.voters, [this](const auto& v) { return v.name == setup_.name; });
   if (votes) OpenDisk();
@@ -212,8 +212,6 @@
   }
   timers_task_ = RunTimers();
   timers_task_.Start();
-  learn_task_ = LearnEpochs();
-  learn_task_.Start();
 }
 
 void CoordinatorMember::OpenDisk() {
@@ -295,32 +293,6 @@
   }
 }
 
-Task<> CoordinatorMember::WatchEpochDisk() {
-  while (true) {
-    if (!epoch_disk_) {
-      epoch_disk_ = machine_.Durable();
-      epoch_disk_done_ = 0;
-    }
-    while (epoch_disk_done_ < epoch_disk_->done() && !pending_epoch_writes_.empty()) {
-      ++epoch_disk_done_;
-      executor_->OnWritten(pending_epoch_writes_.front(), true);
-      pending_epoch_writes_.pop_front();
-    }
-    if (const std::string why = epoch_disk_->ErrorText(); !why.empty()) {
-      log_.Emit<"council_disk">("failed", why);
-      while (!pending_epoch_writes_.empty()) {
-        executor_->OnWritten(pending_epoch_writes_.front(), false);
-        pending_epoch_writes_.pop_front();
-      }
-      epoch_disk_.reset();
-      co_await delay_.Wait(machine_.Now() + kBindRetryInterval);
-      continue;
-    }
-    CheckPendingActions();
-    co_await epoch_disk_->Wait();
-  }
-}
-
 void CoordinatorMember::LogDropped(const char* why, const std::string& from) {
   if (logged_drops_.insert(why).second) log_.Emit<"council_dropped">(why, from);
 }
@@ -502,7 +474,7 @@
                         applied.snapshot->voters.empty() ? "" : applied.snapshot->voters[0].id.name);
     state_ = std::move(*state);
     applied_ = applied.snapshot->index;
-    RefuseOwnersOfBefore();
+    AdoptEpochs();
     for (Event* waiter : applied_waiters_) waiter->Notify();
     return;
   }
@@ -519,7 +491,7 @@
                  std::to_string(stale->epoch) + ", " + owner::NameOf(stale->error));
     }
     OnOwnerEffects(result.owner);
-    if (!result.owner.empty()) RefuseOwnersOfBefore();
+    if (!result.owner.empty()) AdoptEpochs();
     OnFreezeEffects(result.freeze);
     recent_results_[entry.index] = result;
     if (recent_results_.size() > kMaxRecentResults) recent_results_.erase(recent_results_.begin());
@@ -541,12 +513,8 @@
 void CoordinatorMember::OnOwnerEffects(const owner::Effects& effects) {
   const Micros now = machine_.Now();
   using What = owner::Effect::What;
+  if (IsLeader()) TrackLeases(lease_expiry_, now, effects);
   for (const owner::Effect& effect : effects) {
-    if (IsLeader()) {
-      if (effect.what == What::kGranted || effect.what == What::kRenewed)
-        lease_expiry_.OnRenewed(now, {effect.task, effect.epoch, effect.renewed_index, effect.lease});
-      if (effect.what == What::kEnded) lease_expiry_.OnEnded(effect.task);
-    }
     if (effect.what == What::kGranted) {
       log_.Emit<"council_granted">(effect.task, effect.who.name, effect.epoch);
       AddHistory(effect.task + " is granted to " + effect.who.name + ", epoch " +
@@ -575,12 +543,8 @@
              notice.who.name + " " + notice.text);
   const std::string none;
   switch (notice.kind) {
-    case Kind::kBecameLeader: {
-      std::vector<owner::Lease> active_leases;
-      for (const auto& [name, work] : state_.owner().tasks()) {
-        if (work.owner) active_leases.push_back({name, work.epoch, work.renewed_index, work.lease});
-      }
-      lease_expiry_.BecomeLeader(machine_.Now(), active_leases);
+    case Kind::kBecameLeader:
+      lease_expiry_.BecomeLeader(machine_.Now(), state_.owner().Leases());
       freeze_lease_expiry_.BecomeLeader(machine_.Now(), {});
       freeze_leases_.clear();
       SyncFreezeLeases();
@@ -588,7 +552,6 @@
       log_.Emit<"council_leads">(notice.term);
       ++counters_.council_led;
       break;
-    }
     case Kind::kSteppedDown:
       lease_expiry_.BecomeLeader(machine_.Now(), {});
       freeze_lease_expiry_.BecomeLeader(machine_.Now(), {});
@@ -632,22 +595,10 @@
 // and voters that an operator adds.
 void CoordinatorMember::ProposeAsLeader() {
   const Micros now = machine_.Now();
-  for (const owner::Lease& expired : lease_expiry_.Due(now)) {
-    owner::Command command;
-    command.kind = owner::Command::Kind::kExpire;
-    command.task = expired.key;
-    command.epoch = expired.epoch;
-    command.renewed_index = expired.renewed_index;
-    core_->Propose(now, council::Envelope(command));
-  }
-  for (const owner::Lease& expired : freeze_lease_expiry_.Due(now)) {
-    freeze::Command command;
-    command.kind = freeze::Command::Kind::kExpire;
-    command.change = std::stoull(expired.key.substr(expired.key.find(' ') + 1));
-    command.epoch = expired.epoch;
-    command.renewed_index = expired.renewed_index;
-    core_->Propose(now, council::Envelope(command));
-  }
+  for (const owner::Lease& expired : lease_expiry_.Due(now))
+    core_->Propose(now, council::Envelope(owner::MakeExpireCommand(expired)));
+  for (const owner::Lease& expired : freeze_lease_expiry_.Due(now))
+    core_->Propose(now, council::Envelope(freeze::MakeExpireCommand(expired)));
   if (now < last_leader_proposals_at_ + kLeaderProposalInterval) return;
   for (const freeze::Command& end : state_.freeze().IncidentsDue(core_->log_time(now)))
     core_->Propose(now, council::Envelope(end));
@@ -1196,8 +1147,6 @@
 }
 
 void CoordinatorMember::OnAction(const MemberMessage& message, uint64_t connection) {
-  if (pending_actions_.size() >= kMaxPendingActions) pending_actions_.pop_front();
-  pending_actions_.push_back({message, connection});
   action_connections_[message.owned_task] = connection;
   if (action_connections_.size() > 64) action_connections_.erase(action_connections_.begin());
   // Forwards the action to followers of this member. A forwarded action is not forwarded again.
@@ -1206,56 +1155,26 @@
     forwarded.disk = kForwarded;
     connections_->SendToFollowers(EncodeMessage(forwarded, settings_.site));
   }
-  CheckPendingActions();
+  executor_->OnAction(message, connection);
 }
 
-void CoordinatorMember::CheckPendingActions() {
-  for (size_t i = 0; i < pending_actions_.size();) {
-    const PendingAction& action = pending_actions_[i];
-    const owner::Executor::Verdict verdict =
-        executor_->Check(action.message.owned_task, action.message.epoch);
-    if (verdict.error == Error::kNotWritten) {
-      ++i;
-      continue;
-    }
-    if (verdict.error == Error::kNotTold) {
-      unknown_epochs_.insert(action.message.owned_task);
-      learn_wakeup_.Notify();
-      ++i;
-      continue;
-    }
-    if (verdict.ok()) {
-      ++counters_.council_obeyed;
-      uint64_t& logged_epoch = logged_epochs_[action.message.owned_task];
-      if (std::exchange(logged_epoch, action.message.epoch) != action.message.epoch)
-        log_.Emit<"council_obeys">(action.message.owned_task, action.message.name, action.message.epoch);
-    } else {
-      ++counters_.council_fenced;
-      log_.Emit<"council_refuses">(action.message.owned_task, action.message.name, action.message.epoch,
-                                   verdict.highest_epoch, owner::NameOf(verdict.error));
-    }
-    MemberMessage reply{.kind = MemberMessage::Kind::kActionReply,
-                        .number = action.message.number,
-                        .name = setup_.name,
-                        .index = verdict.highest_epoch};
-    reply.epoch = action.message.epoch;
-    reply.error = verdict.error;
-    reply.owned_task = action.message.owned_task;
-    if (action.connection != 0) {
-      connections_->Reply(action.connection, EncodeMessage(reply, settings_.site));
-    } else if (reply.error == Error::kFenced) {
-      for (const auto& wanted : wanted_tasks_) wanted->holder.OnFenced(reply.epoch);
-    }
-    pending_actions_.erase(pending_actions_.begin() + static_cast<std::ptrdiff_t>(i));
-  }
-  if (!epoch_disk_) return;  // it is opened again, which comes here
-  if (std::optional<owner::Executor::Write> write = executor_->NextWrite()) {
-    pending_epoch_writes_.push_back(write->number);
-    epoch_disk_->Write({{setup_.stem + ".epochs", {}, std::move(write->bytes)}});
+void CoordinatorMember::ReplyToAction(uint64_t connection, const MemberMessage& reply) {
+  if (connection != 0) {
+    connections_->Reply(connection, EncodeMessage(reply, settings_.site));
+  } else if (reply.error == Error::kFenced) {
+    for (const auto& wanted : wanted_tasks_) wanted->holder.OnFenced(reply.epoch);
   }
 }
 
-void CoordinatorMember::RefuseOwnersOfBefore() {
+Task<std::optional<uint64_t>> CoordinatorMember::ReadEpoch(std::string task) {
+  MemberMessage message{.kind = MemberMessage::Kind::kRead};
+  message.owned_task = std::move(task);
+  const MemberMessage reply = co_await AskLeader(std::move(message), machine_.Now() + settings_.ask_ms * kMs);
+  if (reply.error != Error::kNone) co_return std::nullopt;
+  co_return reply.epoch;
+}
+
+void CoordinatorMember::AdoptEpochs() {
   const uint64_t floor = state_.owner().floor();
   if (floor > logged_floor_) {
     log_.Emit<"council_begun_anew">(floor);
@@ -1271,43 +1190,7 @@
     log_.Emit<"council_lost">(TaskNameOf(*wanted), epoch, owner::NameOf(error));
     wanted->changed.Notify();
   }
-  const std::map<std::string, uint64_t> known_epochs = executor_->highest_epochs();
-  bool news = false;
-  for (const auto& [task, epoch] : known_epochs) {
-    if (executor_->RefuseBelow(task, state_.owner().EpochOf(task))) news = true;
-  }
-  if (news) CheckPendingActions();
-}
-
-uint64_t CoordinatorMember::HighestKnownEpoch() const {
-  uint64_t highest = state_.owner().last_epoch();
-  for (const auto& [task, epoch] : executor_->highest_epochs()) highest = std::max(highest, epoch);
-  for (const PendingAction& action : pending_actions_) highest = std::max(highest, action.message.epoch);
-  return highest;
-}
-
-// An executor whose file is missing accepts no action of a task before it has read the task's current epoch
-// from the leader.
-Task<> CoordinatorMember::LearnEpochs() {
-  while (true) {
-    while (!unknown_epochs_.empty()) {
-      const std::string work = *unknown_epochs_.begin();
-      MemberMessage message{.kind = MemberMessage::Kind::kRead};
-      message.owned_task = work;
-      const MemberMessage reply =
-          co_await AskLeader(std::move(message), machine_.Now() + settings_.ask_ms * kMs);
-      if (reply.error == Error::kNone) {
-        // The answer may have been on its way while the log went on.
-        executor_->SetCurrentEpoch(work, std::max(reply.epoch, state_.owner().EpochOf(work)));
-        unknown_epochs_.erase(work);
-        CheckPendingActions();
-      } else {
-        const Micros until = machine_.Now() + kLeaderProposalInterval;
-        while (machine_.Now() < until) co_await learn_wakeup_.Wait(until);
-      }
-    }
-    co_await learn_wakeup_.Wait();
-  }
+  executor_->OnReplicaChanged();
 }
 
 std::string CoordinatorMember::TaskNameOf(const WantedTask& wanted) const {
@@ -1321,15 +1204,13 @@
 
 void CoordinatorMember::ShutDown() {
   shut_down_ = true;
-  for (Task<>* task : {&open_task_, &timers_task_, &log_disk_task_, &epoch_disk_task_, &learn_task_,
-                       &accept_operators_task_})
-    *task = {};
+  for (Task<>* task : {&open_task_, &timers_task_, &log_disk_task_, &accept_operators_task_}) *task = {};
   operator_sessions_.clear();
   operator_listener_.reset();
   wanted_tasks_.clear();
   connections_.reset();
   log_disk_.reset();
-  epoch_disk_.reset();
+  if (executor_) executor_->Stop();
   for (const auto& [number, call] : pending_calls_) call->answered.Notify();
   for (Event* waiter : applied_waiters_) waiter->Notify();
 }
@@ -1473,7 +1354,7 @@
       co_return ErrorText(Error::kMalformed,
                           name + " has a log through " + std::to_string(known.last_index) + ".");
   }
-  if (const uint64_t known_epoch = HighestKnownEpoch(); known_epoch > floor)
+  if (const uint64_t known_epoch = executor_->HighestKnownEpoch(); known_epoch > floor)
     co_return ErrorText(Error::kMajorityLost, "Epoch " + std::to_string(known_epoch) + " was given before.");
   if (known_voters_.size() + 1 < settings_.voters.size() && floor == 0)
     co_return ErrorText(Error::kNoMajority, "All voters must answer before a log can begin.");
--- a/src/council/coordinator_member.h
+++ b/src/council/coordinator_member.h
@@ -20,6 +20,7 @@
 
 #include "config/council_settings.h"
 #include "consensus/core.h"
+#include "council/action_executor.h"
 #include "council/member_connections.h"
 #include "council/member_message.h"
 #include "council/state.h"
@@ -30,7 +31,6 @@
 #include "freeze/permit.h"
 #include "io/machine.h"
 #include "observe/log.h"
-#include "owner/executor.h"
 #include "owner/holder.h"
 #include "owner/lease_expiry.h"
 
@@ -113,11 +113,6 @@
     Event changed;
     Task<> coroutine;
   };
-  // An action of a task's owner that is not yet accepted or rejected.
-  struct PendingAction {
-    council::MemberMessage message;
-    uint64_t connection = 0;  // 0: an action of this member
-  };
   // What is known of another voter from its own messages. What it acknowledged is on its disk, so a voter
   // that returns with the same disk and less than that has lost data.
   struct KnownVoter {
@@ -138,9 +133,8 @@
   Task<> Open();
   void OpenDisk();
   void BeginCore(consensus::PersistentState state, bool may_vote);
-  Task<> RunTimers();       // timers of the core, the follower and the leader
-  Task<> WatchLogDisk();    // reports completed log writes to the core
-  Task<> WatchEpochDisk();  // reports completed epoch writes to the executor
+  Task<> RunTimers();     // timers of the core, the follower and the leader
+  Task<> WatchLogDisk();  // reports completed log writes to the core
   void OnFrame(council::MemberConnections::Connection& from, std::string_view frame);
   void OnMemberMessage(council::MemberConnections::Connection& from, council::MemberMessage message);
   void LogDropped(const char* why, const std::string& from);  // logs each reason once
@@ -185,16 +179,14 @@
   Task<> RunWantedTask(WantedTask& wanted);
   std::string TaskNameOf(const WantedTask& wanted) const;
   void SendAction(WantedTask& wanted, uint64_t epoch);
-  // An owner's action. It is accepted or rejected once the executor knows the task's epoch and has stored it.
+  // An owner's action. `connection` 0: an action of this member.
   void OnAction(const council::MemberMessage& message, uint64_t connection);
-  void CheckPendingActions();
-  Task<> LearnEpochs();
-  // Makes the executor refuse the owners of before that the own replica of the log knows of, and this
-  // member's own holders give up what the log says is no longer theirs.
-  void RefuseOwnersOfBefore();
-  // The highest epoch of any task that this member has heard of: from its log, from its executor's file, or
-  // from an act that waits for the council's answer.
-  uint64_t HighestKnownEpoch() const;
+  void ReplyToAction(uint64_t connection, const council::MemberMessage& reply);
+  // The current epoch of the task, from the leader.
+  Task<std::optional<uint64_t>> ReadEpoch(std::string task);
+  // Call after the replica has changed the owners of tasks: holders of this member give up what the log says
+  // is no longer theirs, and the executor rejects earlier owners.
+  void AdoptEpochs();
 
   // Operators' requests.
   Task<> AcceptOperators();
@@ -253,13 +245,7 @@
   size_t voter_turn_ = 0;    // index of the voter to ask next; 0: prefer the leader
 
   std::list<std::unique_ptr<WantedTask>> wanted_tasks_;
-  std::optional<owner::Executor> executor_;
-  std::unique_ptr<DurableWriter> epoch_disk_;
-  uint64_t epoch_disk_done_ = 0;
-  std::deque<uint64_t> pending_epoch_writes_;
-  std::deque<PendingAction> pending_actions_;
-  std::set<std::string> unknown_epochs_;                // tasks whose epoch must be read from the leader
-  std::map<std::string, uint64_t> logged_epochs_;       // by task: the last accepted epoch that was logged
+  std::optional<council::ActionExecutor> executor_;
   uint64_t logged_floor_ = 0;                           // of the epochs in the own replica
   std::map<std::string, uint64_t> action_connections_;  // by task: where its last action came from
 
@@ -269,15 +255,12 @@
   std::unique_ptr<ChannelListener> operator_listener_;
   std::list<std::unique_ptr<OperatorSession>> operator_sessions_;
   Event timer_wakeup_;
-  Event learn_wakeup_;
   Event bootstrap_event_;
   Event delay_;
   std::optional<council::MemberConnections> connections_;
   Task<> open_task_;  // the coroutines are declared last: what they use must outlive them
   Task<> timers_task_;
   Task<> log_disk_task_;
-  Task<> epoch_disk_task_;
-  Task<> learn_task_;
   Task<> accept_operators_task_;
 };
 
