--- a/src/council/coordinator_member.cpp
+++ b/src/council/coordinator_member.cpp
@@ -491,7 +491,7 @@
                  std::to_string(stale->epoch) + ", " + owner::NameOf(stale->error));
     }
     OnOwnerEffects(result.owner);
-    if (!result.owner.empty()) AdoptEpochs();
+    if (!result.owner.empty() || state_.owner().floor() > logged_floor_) AdoptEpochs();
     OnFreezeEffects(result.freeze);
     recent_results_[entry.index] = result;
     if (recent_results_.size() > kMaxRecentResults) recent_results_.erase(recent_results_.begin());
--- a/tests/council/virtual_council.cpp
+++ b/tests/council/virtual_council.cpp
@@ -14,8 +14,7 @@
 constexpr Micros kCallTimeout = 30 * kSecond;
 constexpr const char* kFreeze = "freeze";
 
-std::string NameOf(size_t member) { return "m" + std::to_string(member + 1); }
-std::string FolderOf(size_t member) { return "/" + NameOf(member); }
+std::string FolderOf(size_t member) { return "/" + VirtualCouncil::NameOf(member); }
 std::string HostOf(size_t member) { return "127.0.0." + std::to_string(member + 1); }
 // Where the member listens, and where others reach it through the network.
 std::string RealAddressOf(size_t member) { return HostOf(member) + ":7000"; }
@@ -28,6 +27,10 @@
 
 }  // namespace
 
+std::string VirtualCouncil::NameOf(size_t member) {
+  return std::string("m").append(std::to_string(member + 1));
+}
+
 struct VirtualCouncil::Process {
   Process(Machine& machine, const CouncilSettings& settings, CoordinatorMember::Setup setup)
       : sink(machine.scheduler(), machine.StandardError()),
--- a/tests/council/virtual_council.h
+++ b/tests/council/virtual_council.h
@@ -21,6 +21,7 @@
   // The members after the first `voters` follow the log. All of them want the work "freeze".
   VirtualCouncil(size_t voters, size_t followers, uint64_t seed);
   ~VirtualCouncil();
+  static std::string NameOf(size_t member);
 
   // What the settings of a member say from its next start on.
   CouncilSettings& SettingsOf(size_t member) { return members_[member].settings; }
