--- a/src/council/coordinator_member.cpp
+++ b/src/council/coordinator_member.cpp
@@ -1177,8 +1177,8 @@
 void CoordinatorMember::AdoptEpochs() {
   const uint64_t floor = state_.owner().floor();
   if (floor > logged_floor_) {
-    log_.Emit<"council_begun_anew">(floor);
-    AddHistory("begun anew above " + std::to_string(floor));
+    log_.Emit<"council_rebuilt">(floor);
+    AddHistory("rebuilt with the epoch floor " + std::to_string(floor));
     logged_floor_ = floor;
   }
   for (const auto& wanted : wanted_tasks_) {
@@ -1362,14 +1362,14 @@
   for (const CouncilVoter& voter : settings_.voters) {
     if (voter.name == setup_.name) own = voter.address;
   }
-  std::string beginning;
+  std::string initial_state;
   if (floor > 0) {
     const std::optional<council::State> above = council::State::AboveFloor(floor, setup_.name);
     if (!above) co_return ErrorText(Error::kMalformed, "The number is too high.");
-    beginning = above->Save();
+    initial_state = above->Save();
   }
   const consensus::PersistentState bootstrap_state =
-      consensus::BootstrapState({{setup_.name, store_->disk()}, own}, floor, std::move(beginning));
+      consensus::BootstrapState({{setup_.name, store_->disk()}, own}, floor, std::move(initial_state));
   core_.reset();
   bootstrap_written_ = false;
   pending_log_writes_.push_back(0);
--- a/src/council/state.h
+++ b/src/council/state.h
@@ -46,8 +46,8 @@
 class State {
  public:
   State() : ejection_(ejection::Rules()) {}
-  // The state that a log starts from which an operator begins anew after a majority was lost: epochs up to
-  // `floor` are ruled out for every task. Nothing if the floor leaves no room for epochs above it.
+  // The initial state of a log that an operator rebuilds after a majority was lost: epochs up to `floor` are
+  // ruled out for every task. Nothing if the floor leaves no room for epochs above it.
   static std::optional<State> AboveFloor(uint64_t floor, const std::string& by);
 
   ApplyResult Apply(uint64_t index, Micros log_time, std::string_view data);
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -406,9 +406,9 @@
      "council: {who} could not be brought in: {why}",
      "It did not catch up in time, or the leader changed. It is tried again for as long as this one leads.",
      {{{"who", kText, "its name"}, {"why", kText, "what went wrong"}}}},
-    {"council_begun_anew",
+    {"council_rebuilt",
      LogLevel::kWarning,
-     "council: begun anew: no epoch up to {floor} counts any more",
+     "council: rebuilt: no epoch up to {floor} counts any more",
      "An operator's `begin NUMBER`, as this member hears of it. It gives up what it owned, and refuses every "
      "owner "
      "of before.",
@@ -457,7 +457,7 @@
      LogLevel::kWarning,
      "council: entry {entry} for {work} has no effect[, from {by}]: epoch {epoch}[, the last is {last}] "
      "({error})",
-     "What an owner of before had sent entered the log after the work had gone to another, or to nobody.",
+     "What an earlier owner had sent entered the log after the work had gone to another, or to nobody.",
      {{{"entry", kNumber, "its place in the log"},
        {"work", kText, "its name"},
        {"by", kText, "who sent it, where the entry names them"},
--- a/tests/council/drawn_faults_test.cpp
+++ b/tests/council/random_faults_test.cpp
@@ -1,6 +1,5 @@
-// Councils under faults drawn from a seed: cuts, crashes, lost files of epochs and, in some, the loss of all
-// voters' folders and a new beginning. Who owned a work before is obeyed by nobody who has heard of a later
-// one.
+// Councils under random faults from a seed: cuts, crashes, lost files of epochs and, in some, the loss of all
+// voters' folders and a rebuilt log. A member that knows of a later owner obeys no earlier one.
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -23,11 +22,11 @@
 
 using Observation = CoordinatorMember::Setup::Observation;
 
-class DrawnFaults {
+class RandomFaults {
  public:
-  explicit DrawnFaults(uint64_t seed) : random_(seed), council_(kVoters, kMembers - kVoters, seed) {
+  explicit RandomFaults(uint64_t seed) : random_(seed), council_(kVoters, kMembers - kVoters, seed) {
     for (size_t i = 0; i < kMembers; ++i) {
-      // Each sees a zone of its own name, so that an incident names who proposed it.
+      // Each member observes a zone of its own name, so that an incident names the member that proposed it.
       council_.ObservationsOf(i) = [this, zone = freeze::Scope::Zone(VirtualCouncil::NameOf(i))] {
         const double share = zone_down_ ? 1 : 0;
         return std::vector<Observation>{{freeze::IncidentKind::kZoneDown, zone, share}};
@@ -43,10 +42,10 @@
       const Micros pause = static_cast<Micros>(100 + Below(1500)) * kMs;
       council_.RunFor(pause);
       span += pause;
-      DrawFault();
+      InjectFault();
     }
     EndFaults();
-    if (Chance(0.5)) BeginAnew();
+    if (Chance(0.5)) Rebuild();
     EXPECT_TRUE(council_.RunUntil([this] { return AllObeyOneOwner(); })) << Describe();
     zone_down_ = false;
     EXPECT_TRUE(council_.RunUntil([this] { return SameState(); }, 90 * kSecond)) << Describe();
@@ -58,7 +57,7 @@
   size_t Below(size_t bound) { return static_cast<size_t>(random_() % bound); }
   bool Chance(double share) { return static_cast<double>(random_() % 1000) < share * 1000; }
 
-  void DrawFault() {
+  void InjectFault() {
     const size_t member = Below(kMembers);
     switch (Below(6)) {
       case 0:
@@ -99,12 +98,12 @@
   }
 
   // As docs/council.md says. Members that follow go on, one of them perhaps as the owner.
-  void BeginAnew() {
+  void Rebuild() {
     for (size_t i = 0; i < kVoters; ++i) council_.Stop(i);
     for (size_t i = 0; i < kVoters; ++i) council_.LoseFolder(i);
     for (size_t i = 0; i < kVoters; ++i) {
       fresh_from_[i] = council_.LogOf(i).size();
-      begun_anew_.insert(i);
+      rebuilt_.insert(i);
       council_.Start(i);
     }
     council_.RunFor(static_cast<Micros>(Below(4000)) * kMs);
@@ -134,18 +133,18 @@
     return states.size() == 1;
   }
 
-  // Since it has its file a member obeys no lower epoch than before, and voters begun anew none up to the
+  // Since it has its file a member obeys no lower epoch than before, and rebuilt voters none up to the
   // floor.
   void CheckObeyed(size_t member) {
     uint64_t highest = 0;
     for (const uint64_t epoch : council_.ObeyedBy(member, fresh_from_[member])) {
       EXPECT_GE(epoch, highest) << Describe();
-      EXPECT_GT(epoch, begun_anew_.contains(member) ? kFloor : 0) << Describe();
+      EXPECT_GT(epoch, rebuilt_.contains(member) ? kFloor : 0) << Describe();
       highest = std::max(highest, epoch);
     }
   }
 
-  // No epoch is granted to two owners, and an incident is opened by who owns the work at its entry alone.
+  // No epoch is granted to two owners, and only the owner at its entry opens an incident.
   void CheckLog(size_t member) {
     std::string owner;
     std::istringstream lines(council_.LogOf(member));
@@ -153,7 +152,7 @@
       const nlohmann::json event = nlohmann::json::parse(line, nullptr, false);
       if (!event.is_object()) continue;
       const std::string name = event.value("event", "");
-      if (name == "council_serving" || name == "council_begun_anew") owner.clear();
+      if (name == "council_serving" || name == "council_rebuilt") owner.clear();
       if (name == "council_granted") {
         owner = event.value("owner", "");
         const auto [grant, fresh] = owners_.try_emplace(event.value("epoch", uint64_t{0}), owner);
@@ -179,15 +178,15 @@
   VirtualCouncil council_;
   bool zone_down_ = false;
   std::set<size_t> cut_;
-  std::set<size_t> begun_anew_;
+  std::set<size_t> rebuilt_;
   std::map<uint64_t, std::string> owners_;  // by epoch
   std::map<size_t, size_t> fresh_from_;     // by member: where its log was when it lost its file of epochs
 };
 
-TEST(DrawnFaults, NobodyObeysAnOwnerOfBefore) {
+TEST(RandomFaults, NobodyObeysAStaleOwner) {
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
     SCOPED_TRACE("seed " + std::to_string(seed));
-    DrawnFaults(seed).Run();
+    RandomFaults(seed).Run();
     if (testing::Test::HasFailure()) return;
   }
 }
--- a/tests/council/new_beginning_test.cpp
+++ b/tests/council/rebuild_test.cpp
@@ -1,4 +1,4 @@
-// A council that is begun anew after all voters have lost their folders: no owner of before is obeyed.
+// A council that is rebuilt after all voters have lost their folders: no earlier owner is obeyed.
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -14,9 +14,9 @@
 constexpr uint64_t kFloor = 1'000'000;
 
 // A council whose voters have lost their folders, while the owner's lease still runs.
-class NewBeginning : public testing::Test {
+class RebuiltCouncil : public testing::Test {
  protected:
-  NewBeginning() : council(kVoters, 2, 1) {
+  RebuiltCouncil() : council(kVoters, 2, 1) {
     for (size_t i = 0; i < kVoters + 2; ++i) council.SettingsOf(i).lease_s = 20;
     council.StartAll();
     council.Begin(0);
@@ -45,8 +45,8 @@
 };
 
 // Guards against review/7: executors without their files were told that the work never had an owner, and
-// obeyed the one of before.
-TEST_F(NewBeginning, VotersWithoutTheirFilesObeyNoOwnerOfBefore) {
+// obeyed the earlier owner.
+TEST_F(RebuiltCouncil, VotersWithoutTheirFilesObeyNoStaleOwner) {
   ASSERT_TRUE(council.Call(0, "begin " + std::to_string(kFloor)).starts_with("the log begins here"));
   ASSERT_TRUE(council.RunUntil([&] {
     for (size_t i = 0; i < kVoters; ++i) {
@@ -61,17 +61,17 @@
   EXPECT_GT(council.OwnerAt(0).epoch, kFloor);
 }
 
-// Those that have their files, and the owner itself, are told by the new log, before anybody owns the work
-// anew.
-TEST_F(NewBeginning, WhoHearsOfItStopsAndRefusesTheOwnerOfBefore) {
+// Members that have their files, and the owner itself, learn the floor from the new log, before the work is
+// granted again.
+TEST_F(RebuiltCouncil, MembersThatLearnTheFloorStopAndRefuseTheStaleOwner) {
   for (size_t i = 0; i < kVoters; ++i) council.Stop(i);
   for (size_t i = 0; i < kVoters; ++i) {
     council.SettingsOf(i).wants.clear();
     council.Start(i);
   }
   council.Call(0, "begin " + std::to_string(kFloor));
-  ASSERT_TRUE(council.RunUntil([&] { return Tells(kOwner, "council_begun_anew"); }));
-  ASSERT_TRUE(council.RunUntil([&] { return Tells(kFollower, "council_begun_anew"); }));
+  ASSERT_TRUE(council.RunUntil([&] { return Tells(kOwner, "council_rebuilt"); }));
+  ASSERT_TRUE(council.RunUntil([&] { return Tells(kFollower, "council_rebuilt"); }));
   EXPECT_TRUE(Tells(kOwner, "council_lost")) << council.LogOf(kOwner);
   council.RunFor(12 * kSecond);
   for (size_t i = 0; i < kVoters + 2; ++i) {
@@ -85,8 +85,8 @@
   EXPECT_GT(council.OwnerAt(kFollower).epoch, kFloor);
 }
 
-// The same owner would be obeyed after a beginning without a number, or with one below its epoch.
-TEST_F(NewBeginning, IsRefusedWithANumberBelowAnEpochThatWasGiven) {
+// Without a floor, or with one below its epoch, the same owner would be obeyed again.
+TEST_F(RebuiltCouncil, IsRefusedWithANumberBelowAnEpochThatWasGiven) {
   for (const std::string& words : {std::string("begin"), "begin " + std::to_string(epoch - 1)}) {
     const std::string answer = council.Call(0, words);
     EXPECT_TRUE(answer.starts_with("!majority_lost: ")) << answer;
--- a/tests/council/stale_owner_test.cpp
+++ b/tests/council/stale_owner_test.cpp
@@ -1,4 +1,4 @@
-// What an owner of before has written has no effect, however late it arrives.
+// What an earlier owner has sent has no effect, however late it arrives.
 #include <gtest/gtest.h>
 
 #include "virtual_council.h"
@@ -58,8 +58,8 @@
 INSTANTIATE_TEST_SUITE_P(Council, StaleOwner, testing::Bool());
 
 // The same cause at an executor: its own log names another owner, which has not acted yet, and it obeys the
-// one of before.
-TEST(Executors, RefuseAnOwnerOfBeforeOnceTheirLogNamesAnother) {
+// earlier one.
+TEST(Executors, RefuseAStaleOwnerOnceTheirLogNamesAnother) {
   VirtualCouncil council(3, 0, 1);
   council.SettingsOf(1).step_ms = 3000;  // it stands still before each act
   council.SettingsOf(2).wants.clear();
--- a/tests/council/state_test.cpp
+++ b/tests/council/state_test.cpp
@@ -72,7 +72,7 @@
 }
 
 // Guards against review/6 at the log: a command counts only under the epoch that owns the task at its entry.
-TEST(CouncilState, RefusesIncidentsOfAnOwnerOfBefore) {
+TEST(CouncilState, RefusesIncidentsOfAStaleOwner) {
   State state;
   state.Apply(10, kSecond, Envelope(WantFreezeTask("b1")));
   EXPECT_EQ(RefusalOf(state.Apply(11, kSecond, Envelope(OpenBySight("bern", 10)))), owner::Error::kNone);
@@ -103,7 +103,7 @@
 }
 
 // The same cause at the other work that acts through the log: the count of ejection votes.
-TEST(CouncilState, RefusesCountsOfAnOwnerOfBefore) {
+TEST(CouncilState, RefusesCountsOfAStaleOwner) {
   State state;
   state.Apply(10, kSecond, Envelope(Acquire(owner::kEjectionTask, "b1")));
   ejection::Command hosts;
