Council: council_rebuilt is information, and the executor stops first at a shutdown

Cause: on reading the change once more: a member tells council_rebuilt again after each start, as its state says so then, and a warning at each start would be noise; what is given up has its own warning (council_lost). ShutDown() ended the executor's tasks after the connections, where it ended them before in the code that was moved.

Change: the level, the event's page, and the order.

--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -90,7 +90,7 @@
 // The initial state of a new log. An operator bootstraps exactly ONE voter with it, once: that voter is the
 // only one, leads, and the others are added one by one. The first entry's index is above `index_floor`, which
 // is 0 except when a log is started anew after the loss of a majority: then it is above each index that
-// anybody may have seen, and `state` is what the state machine starts from, which no entry comes before.
+// anybody may have seen, and `state` is the initial state of the state machine.
 PersistentState BootstrapState(const Voter& self, uint64_t index_floor = 0, std::string state = "");
 
 // State that must be made durable. Writes are executed in the order of their numbers, as a later one may
--- a/src/council/coordinator_member.cpp
+++ b/src/council/coordinator_member.cpp
@@ -1205,12 +1205,12 @@
 void CoordinatorMember::ShutDown() {
   shut_down_ = true;
   for (Task<>* task : {&open_task_, &timers_task_, &log_disk_task_, &accept_operators_task_}) *task = {};
+  if (executor_) executor_->Stop();
   operator_sessions_.clear();
   operator_listener_.reset();
   wanted_tasks_.clear();
   connections_.reset();
   log_disk_.reset();
-  if (executor_) executor_->Stop();
   for (const auto& [number, call] : pending_calls_) call->answered.Notify();
   for (Event* waiter : applied_waiters_) waiter->Notify();
 }
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -407,11 +407,11 @@
      "It did not catch up in time, or the leader changed. It is tried again for as long as this one leads.",
      {{{"who", kText, "its name"}, {"why", kText, "what went wrong"}}}},
     {"council_rebuilt",
-     LogLevel::kWarning,
+     LogLevel::kInfo,
      "council: rebuilt: no epoch up to {floor} counts any more",
-     "An operator's `begin NUMBER`, as this member hears of it. It gives up what it owned, and refuses every "
-     "owner "
-     "of before.",
+     "An operator's `begin NUMBER`, as this member hears of it, and again after each start. It gives up what "
+     "it "
+     "owned under these epochs, and refuses their owners.",
      {{{"floor", kNumber, "the number that the operator gave"}}}},
     {"council_granted",
      LogLevel::kInfo,
