Council: random faults look at executors that obey below what their own log has granted

Cause: the test of random faults said that a member which knows of a later owner obeys no earlier one, and looked only at what the member had obeyed itself.

Change: what a member obeys is held against the last grant in its own log as well.

--- a/tests/council/random_faults_test.cpp
+++ b/tests/council/random_faults_test.cpp
@@ -144,20 +144,27 @@
     }
   }
 
-  // No epoch is granted to two owners, and only the owner at its entry opens an incident.
+  // No epoch is granted to two owners, only the owner at its entry opens an incident, and no member obeys an
+  // epoch below one that its own log has granted.
   void CheckLog(size_t member) {
     std::string owner;
+    uint64_t granted = 0;
     std::istringstream lines(council_.LogOf(member));
     for (std::string line; std::getline(lines, line);) {
       const nlohmann::json event = nlohmann::json::parse(line, nullptr, false);
       if (!event.is_object()) continue;
       const std::string name = event.value("event", "");
+      if (name == "council_serving") granted = 0;
       if (name == "council_serving" || name == "council_rebuilt") owner.clear();
       if (name == "council_granted") {
         owner = event.value("owner", "");
-        const auto [grant, fresh] = owners_.try_emplace(event.value("epoch", uint64_t{0}), owner);
+        granted = event.value("epoch", uint64_t{0});
+        const auto [grant, fresh] = owners_.try_emplace(granted, owner);
         EXPECT_EQ(grant->second, owner) << Describe();
       }
+      if (name == "council_obeys") {
+        EXPECT_GE(event.value("epoch", uint64_t{0}), granted) << Describe();
+      }
       if (name != "council_incident" || event.value("state", "") != "opened") continue;
       EXPECT_EQ(event.value("scope", ""), "zone " + owner) << line;
     }
