Tests: a host's name is assigned from a string, so that g++ 12 builds it on arm64

Cause: g++ 12 on arm64 takes the assignment of a literal to a string in command_codec_test.cpp for a copy that may overlap (-Wrestrict, out of the standard library's header), and the test build has warnings as errors.

Change: the same assignment from a std::string; assertions and warnings as before.

Measured: the file compiles with the flags of the test build on arm64, which stopped at it before. x86-64 was not built here.

--- a/tests/ejection/command_codec_test.cpp
+++ b/tests/ejection/command_codec_test.cpp
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <string>
+
 #include "ejection/state.h"
 
 namespace burlfall::ejection {
@@ -12,7 +14,7 @@
     command.vote = {"b", "z", "h", 7, -5, 3, 9, Kind::kSlow, 2, 4, true, 30 * kSecond};
     command.good = {"b", "z", "h", 7, 3, 2, kSecond};
     command.balancer = "b";
-    command.host = "h";
+    command.host = std::string("h");
     command.incarnation = 7;
     command.was_good = true;
     command.operation = OperatorAction::kExtend;
