Front: no connection holds the thread for more than a bounded turn

Cause: ClientLink::Run() handled whatever the connection held, and a connection that is filled as fast as it is read never came to a wait, so that the scheduler's iteration did not end. The same held for a body or a long answer that passes without a wait, and for the acceptance of connections.

Change: Signal::NextTurn() puts a coroutine behind all that is ready, due or readable. A link awaits it after each request that leaves further input, and after 64 KiB read or written; the listener after 64 connections. Requests that no node answers (errors, /up, /counters, unknown classes) are paced on each connection: a hundred at once, then one a millisecond, so that a flood does not take the processor either.

--- a/src/front/client_link.cpp
+++ b/src/front/client_link.cpp
@@ -27,6 +27,7 @@
 constexpr Micros kLingerTightTimeout = 100 * kMs;
 constexpr size_t kMaxDropped = kMaxStreamedBody;  // bytes read after the last answer: a large query's body
 constexpr Micros kMaxTimeout = 3600 * kSecond;
+constexpr size_t kMaxBytesPerTurn = 64 * 1024;  // read or written before other links get their turn
 
 // Parses a number of microseconds from 1 to kMaxTimeout; returns 0 for anything else.
 Micros ParseSize(const std::string* text) {
@@ -112,6 +113,9 @@
     idle_since_ = stream_->scheduler().Now();
     front_.OnQueryEnded(*this);
     if (!keep_open) break;
+    query_began_at_ = 0;
+    if (!in_.empty()) co_await stream_->NextTurn();
+    while (IsPaced()) co_await stream_->Wait(paced_until_);
   }
   ended_ = true;
   if ((final_answer_sent_ || had_query) && !handed_over_) co_await Linger();
@@ -121,10 +125,16 @@
   front_.OnLinkEnded(*this);
 }
 
+bool ClientLink::IsPaced() const {
+  return stream_->scheduler().Now() < paced_until_ && !close_when_idle_ && !abort_unfinished_ &&
+         !front_.leaving();
+}
+
 // Reads the next query, of a large one the head. Returns false if the link is to be closed, either without an
 // answer or after an error answer that was written here.
 Task<bool> ClientLink::ReadQuery() {
   query_began_at_ = std::exchange(inherited_began_at_, 0);
+  size_t read_this_turn = 0;
   while (true) {
     if (query_began_at_ == 0 && !in_.empty()) query_began_at_ = stream_->scheduler().Now();
     Parsed parsed = in_.empty() ? Parsed::kMore : parser_.Feed(in_);
@@ -138,9 +148,14 @@
     }
     Io io = Io::kSome;
     if (parsed == Parsed::kMore && SendContinue()) {
+      const size_t before = in_.size();
       io = stream_->Read(in_);
       if (io == Io::kSome) {
         progress_at_ = stream_->scheduler().Now();
+        read_this_turn += in_.size() - before;
+        if (read_this_turn < kMaxBytesPerTurn) continue;
+        read_this_turn = 0;
+        co_await stream_->NextTurn();
         continue;
       }
       if (io != Io::kLater) co_return false;
@@ -264,6 +279,7 @@
       }
     }
   }
+  if (!has_trace_id || request_class < 0) paced_until_ = pacer_.NoteAnswer(stream_->scheduler().Now());
   bool written = co_await WriteAnswer();
   const bool ends_with_link = body_rest_ && !body_rest_->length && http_1_0_client_;
   if (written && body_rest_) written = co_await WriteRest();
@@ -349,6 +365,7 @@
   using Next = BodySource::Next;
   std::string piece, out;
   Micros until = stream_->scheduler().Now() + kWriteTimeout;
+  size_t written_this_turn = 0;
   while (true) {
     piece.clear();
     const Next next = body_rest_->Take(piece);
@@ -375,6 +392,10 @@
     }
     until = stream_->scheduler().Now() + kWriteTimeout;
     if (next == Next::kDone) co_return true;
+    written_this_turn += piece.size();
+    if (written_this_turn < kMaxBytesPerTurn) continue;
+    written_this_turn = 0;
+    co_await stream_->NextTurn();
   }
 }
 
--- a/src/front/client_link.h
+++ b/src/front/client_link.h
@@ -8,6 +8,7 @@
 
 #include "codec/http.h"
 #include "dispatch/query.h"
+#include "front/local_answer_pacer.h"
 #include "front/upload.h"
 #include "io/network.h"
 #include "links/byte_budget.h"
@@ -70,6 +71,7 @@
   Micros ReadDeadline() const;
   bool SendContinue();
   bool BufferWholeBody();
+  bool IsPaced() const;  // the next request is not to be read yet
   bool ReadAhead();
   void PrepareAnswer(int status, const std::string& headers, std::string_view body,
                      const BodySource* body_rest = nullptr);
@@ -90,6 +92,8 @@
   Micros query_began_at_ = 0;              // when the first bytes of the query were received; 0: none
   Micros progress_at_ = 0;                 // when bytes were last received
   Micros idle_since_ = 0;
+  LocalAnswerPacer pacer_;
+  Micros paced_until_ = 0;
   bool busy_ = false;
   bool answered_ = false;
   bool close_after_answer_ = false;  // the link closes after this answer
--- a/src/front/http_front.cpp
+++ b/src/front/http_front.cpp
@@ -19,6 +19,7 @@
 constexpr Micros kNewLinkTimeout = 2 * kSecond;        // even if descriptors are plentiful
 constexpr Micros kIdleTimeoutCrowded = 2 * kSecond;    // links need not stay open for longer without a query
 constexpr size_t kMaxShedAtOnce = 64;
+constexpr size_t kMaxAcceptedPerTurn = 64;
 constexpr size_t kServerLinksDivisor = 4;  // at least a quarter of the link budget is left to server links
 constexpr size_t kSpareLinksDivisor = 8;   // an eighth of the client links is kept free of open queries
 constexpr size_t kMinBufferedUpload = 4096;
@@ -107,7 +108,7 @@
   state_ = State::kClosing;
   if (!not_accepting_) {
     StopAccepting();
-    AcceptWaiting();
+    while (AcceptWaiting(kMaxAcceptedPerTurn) == Accepting::kMoreWait) continue;
   }
   listener_.reset();
 }
@@ -128,16 +129,20 @@
 
 Task<> HttpFront::Accept() {
   while (true) {
-    bool all = AcceptWaiting();
+    const Accepting result = AcceptWaiting(kMaxAcceptedPerTurn);
+    if (result == Accepting::kMoreWait) {
+      co_await listener_->NextTurn();
+      continue;
+    }
     // When descriptors are short, accepting is retried after a pause: the edge-triggered listener does not
     // report connections that already wait.
+    const bool all = result == Accepting::kAllAccepted;
     co_await listener_->Wait(all ? kNever : parts_.machine.Now() + kAcceptRetryDelay);
   }
 }
 
-// Accepts waiting connections. Returns false if some are left for lack of descriptors or memory.
-bool HttpFront::AcceptWaiting() {
-  while (true) {
+HttpFront::Accepting HttpFront::AcceptWaiting(size_t limit) {
+  for (size_t accepted = 0; accepted < limit; ++accepted) {
     // Descriptors become free only as shed links close. In a burst of connections the limit must hold all the
     // same: a process that exceeds it is stopped.
     const size_t capacity = parts_.budget.max_links();
@@ -148,15 +153,15 @@
       // many more, and close links that may stay.
       const size_t wanted = kMaxShedAtOnce - std::min(Ending(), kMaxShedAtOnce);
       if (wanted > 0) over_client_share ? ReleaseIdle(wanted) : parts_.budget.EnsureCapacity(wanted);
-      return false;
+      return Accepting::kNoResources;
     }
     std::unique_ptr<Stream> stream;
     switch (listener_->Accept(stream)) {
       case Listener::Accepted::kNone:
-        return true;
+        return Accepting::kAllAccepted;
       case Listener::Accepted::kNoResources:
         parts_.budget.EnsureCapacity();
-        return false;
+        return Accepting::kNoResources;
       case Listener::Accepted::kOne:
         break;
     }
@@ -168,6 +173,7 @@
     new_links_.back()->position = std::prev(new_links_.end());
     new_links_.back()->Start();
   }
+  return Accepting::kMoreWait;
 }
 
 // Counts the links that are ending, or only wait for their client to close.
--- a/src/front/http_front.h
+++ b/src/front/http_front.h
@@ -84,8 +84,14 @@
   friend class ClientLink;
   using Links = std::list<std::unique_ptr<ClientLink>>;
 
+  enum class Accepting {
+    kAllAccepted,
+    kMoreWait,     // the limit was reached
+    kNoResources,  // some are left for lack of descriptors or memory
+  };
+
   Task<> Accept();
-  bool AcceptWaiting();
+  Accepting AcceptWaiting(size_t limit);  // accepts at most `limit` waiting connections
   Task<> Sweep();
   Task<> EraseEnded();
   size_t Ending() const;
--- a/src/io/scheduler.cpp
+++ b/src/io/scheduler.cpp
@@ -36,6 +36,7 @@
 }
 
 bool Waiter::await_ready() {
+  if (next_turn_) return false;
   notified_ = std::exchange(signal_.notified_, false);
   return notified_;
 }
@@ -43,6 +44,11 @@
 void Waiter::await_suspend(std::coroutine_handle<> handle) {
   handle_ = handle;
   suspended_ = true;
+  if (next_turn_) {
+    queued_ = true;
+    signal_.scheduler_.ready_.push_back(this);
+    return;
+  }
   signal_.waiter_ = this;
   if (until_ != kNever) timer_ = signal_.scheduler_.timers_.emplace(until_, this);
 }
--- a/src/io/scheduler.h
+++ b/src/io/scheduler.h
@@ -53,6 +53,8 @@
 class Waiter {
  public:
   Waiter(Signal& signal, Micros until) : signal_(signal), until_(until) {}
+  // Waits for its turn only: resumed with the coroutines of the scheduler's next iteration.
+  explicit Waiter(Signal& signal) : signal_(signal), next_turn_(true) {}
   Waiter(const Waiter&) = delete;
   ~Waiter();
   bool await_ready();
@@ -65,7 +67,8 @@
   void Wake(bool notified);
 
   Signal& signal_;
-  Micros until_;
+  Micros until_ = kNever;
+  bool next_turn_ = false;
   std::coroutine_handle<> handle_;
   std::optional<Scheduler::Timers::iterator> timer_;
   bool suspended_ = false;
@@ -87,6 +90,9 @@
   void SetHighPriority() { high_priority_ = true; }
   // The wait yields true if notified, false if `until` passed first.
   Waiter Wait(Micros until = kNever) { return Waiter(*this, until); }
+  // Lets other coroutines, sockets and timers be served first. A coroutine that may find work without end
+  // awaits this after a bounded amount. Notifications meanwhile are kept for the next wait.
+  Waiter NextTurn() { return Waiter(*this); }
   Scheduler& scheduler() const { return scheduler_; }
 
  protected:
