Front: requests that the protocol does not allow get an error and reach no node

Cause: the front took what it could use of a request and fell back on defaults for the rest: a deadline that is no number was the class's, of two ids the first counted, an empty id was one, method and key were not looked at.

Change: front/request_check judges a request as a whole: no, an empty or a second id, a second deadline, key or tenant, a deadline that is none, another method than the class has, a keyed class without its key, a body of a safe request. It is answered with 400 or 405, counted as unsound, and reaches neither the module nor a node. What the protocol leaves open (no deadline, an unknown tenant) is served as before.

--- a/src/front/client_link.cpp
+++ b/src/front/client_link.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
 #include <cstdio>
 #include <new>
 #include <optional>
@@ -11,6 +10,7 @@
 #include "codec/words.h"
 #include "config/platform.h"
 #include "front/http_front.h"
+#include "front/request_check.h"
 
 namespace burlfall {
 namespace {
@@ -26,27 +26,16 @@
 // If descriptors run short, other clients wait for this link's; its client closes within a round trip.
 constexpr Micros kLingerTightTimeout = 100 * kMs;
 constexpr size_t kMaxDropped = kMaxStreamedBody;  // bytes read after the last answer: a large query's body
-constexpr Micros kMaxTimeout = 3600 * kSecond;
+constexpr Micros kMaxSizeHint = 3600 * kSecond;
 constexpr size_t kMaxBytesPerTurn = 64 * 1024;  // read or written before other links get their turn
 
-// Parses a number of microseconds from 1 to kMaxTimeout; returns 0 for anything else.
+// Parses a number of microseconds from 1 to kMaxSizeHint; returns 0 for anything else.
 Micros ParseSize(const std::string* text) {
   Micros size = 0;
   if (text == nullptr) return 0;
   auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), size);
-  return error == std::errc() && end == text->data() + text->size() && size > 0 && size <= kMaxTimeout ? size
-                                                                                                       : 0;
-}
-
-// Parses "480m" (milliseconds) or "1500u" (microseconds); returns `fallback` for anything else.
-Micros ParseExpiry(const std::string* text, Micros fallback) {
-  if (text == nullptr) return fallback;
-  double number = 0;
-  const char* end = text->data() + text->size();
-  auto [unit, error] = std::from_chars(text->data(), end, number);
-  if (error != std::errc() || end - unit != 1 || !std::isfinite(number) || number < 0) return fallback;
-  if (*unit != 'm' && *unit != 'u') return fallback;
-  return static_cast<Micros>(std::min(number * (*unit == 'm' ? kMs : 1), static_cast<double>(kMaxTimeout)));
+  return error == std::errc() && end == text->data() + text->size() && size > 0 && size <= kMaxSizeHint ? size
+                                                                                                        : 0;
 }
 
 std::string_view FirstSegment(std::string_view target) {
@@ -219,6 +208,9 @@
   std::string_view path = std::string_view(message.target).substr(0, message.target.find('?'));
   int request_class = ClassOf(front_.classes_, FirstSegment(message.target));
   const bool has_trace_id = message.Find(platform::kTraceId) != nullptr;
+  const meadowslip::RequestClass* known_class =
+      request_class < 0 ? nullptr : &settings.classes[static_cast<size_t>(request_class)];
+  const RequestFault fault = FindFault(message, known_class, upload_ || !message.body.empty());
   const bool may_be_builtin = !has_trace_id && message.method == "GET";
   if (may_be_builtin && path == platform::kUpPath) {
     PrepareAnswer(front_.up() ? 200 : 503, "", front_.up() ? "up\n" : "not serving\n");
@@ -226,9 +218,13 @@
     PrepareAnswer(200, "", front_.parts_.counters.Text() + "\n");
   } else if ((has_trace_id || request_class >= 0) && RefusedAtAdmission(message, request_class)) {
     // Answered; the module is not notified.
-  } else if (!has_trace_id) {
+  } else if (!has_trace_id && request_class < 0) {
+    ++front_.parts_.counters.bad;
+    PrepareAnswer(404, "", "");
+  } else if (fault != RequestFault::kNone) {
     ++front_.parts_.counters.bad;
-    PrepareAnswer(request_class < 0 ? 404 : 400, "", "");
+    ++front_.parts_.counters.unsound;
+    PrepareAnswer(StatusOf(fault), "", "");
   } else if (FirstSegment(message.target).empty()) {
     ++front_.parts_.counters.bad;
     PrepareAnswer(404, "", "");
@@ -245,11 +241,13 @@
     const std::string* second_try = message.Find(platform::kSecondTry);
     query.request.client_retry = second_try != nullptr && *second_try == "1";
     query.request.estimate = ParseSize(message.Find(platform::kSizeHint));
-    Micros timeout = request_class < 0 ? 0 : settings.classes[static_cast<size_t>(request_class)].deadline;
     // The client's timeout starts when it sends. The first bytes are the closest to that, unless the query
     // was written slowly: then it is the last byte.
     const Micros sent_at = front_.parts_.config.in_service ? stream_->scheduler().Now() : query_began_at_;
-    answer_timeout_ = ParseExpiry(message.Find(platform::kExpiresIn), timeout);
+    const std::string* deadline = message.Find(platform::kExpiresIn);
+    answer_timeout_ = deadline != nullptr      ? ParseDeadline(*deadline).value_or(0)
+                      : known_class != nullptr ? known_class->deadline
+                                               : 0;
     query.request.give_up_at = sent_at + answer_timeout_;
     auto payload = std::make_unique<HttpPayload>(std::move(message));
     query.labels.trace = payload->Find(platform::kTraceId);
@@ -279,7 +277,8 @@
       }
     }
   }
-  if (!has_trace_id || request_class < 0) paced_until_ = pacer_.NoteAnswer(stream_->scheduler().Now());
+  if (fault != RequestFault::kNone || request_class < 0)
+    paced_until_ = pacer_.NoteAnswer(stream_->scheduler().Now());
   bool written = co_await WriteAnswer();
   const bool ends_with_link = body_rest_ && !body_rest_->length && http_1_0_client_;
   if (written && body_rest_) written = co_await WriteRest();
--- a/src/observe/counters.cpp
+++ b/src/observe/counters.cpp
@@ -27,6 +27,7 @@
     if (value > 0) all.emplace_back(name, value);
   };
   rare("unasked", unasked);
+  rare("unsound", unsound);
   rare("denied", denied);
   rare("limited", limited);
   rare("not_ready", not_ready);
