Dispatch: an id runs once, whoever sends it again and at whichever process

Cause: nothing remembered the ids of requests. The module counts requests by numbers of its own.

Change: dispatch/request_ids keeps the ids (their digests) of open requests, and of the latest ones that may have run and are not safe to repeat, as many as the memory allows (256 a megabyte, 16,384 at most). A repeat gets 409 and is counted. What was refused before any attempt may come again. At a hand-over the old process sends the ids that it knows (message R) before the new one accepts, and both tell each other of further ones; a process of an earlier version is recognised by the letters of S and sent none.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -21,6 +21,7 @@
       seed_(seed),
       upstream_(upstream),
       request_list_(std::move(request_list)),
+      request_ids_(seed),
       counters_(counters),
       max_open_queries_(static_cast<size_t>(settings.open_cap)),
       wake_event_(scheduler),
@@ -137,11 +138,23 @@
 void Dispatcher::EraseEnded() {
   for (RequestId id : ended_queries_) {
     auto it = queries_.find(id);
-    if (it != queries_.end() && it->second.closed && it->second.unreported == 0) queries_.erase(it);
+    if (it == queries_.end() || !it->second.closed || it->second.unreported > 0) continue;
+    if (it->second.incoming.labels.trace != nullptr)
+      request_ids_.Close(it->second.id_digest, MustNotRunAgain(it->second));
+    queries_.erase(it);
   }
   ended_queries_.clear();
 }
 
+// Whether a second request of the same id could repeat an effect.
+bool Dispatcher::MustNotRunAgain(const Query& query) const {
+  const int cls = query.incoming.request.request_class;
+  if (cls < 0 || static_cast<size_t>(cls) >= settings_.classes.size()) return false;
+  if (settings_.classes[static_cast<size_t>(cls)].idempotency == meadowslip::Idempotency::kSafe) return false;
+  return std::any_of(query.attempts.begin(), query.attempts.end(),
+                     [](const Attempt& a) { return !a.never_ran; });
+}
+
 void Dispatcher::OnList(const meadowslip::BackendList& list) {
   ++(list.kind == meadowslip::ListKind::kFailed ? counters_.lists_failed : counters_.lists);
   const Micros now = scheduler_.Now();
@@ -245,6 +258,11 @@
   Query& query = queries_[id];
   query.incoming = std::move(incoming);
   query.received_at = now;
+  if (const std::string* trace = query.incoming.labels.trace) {
+    query.id_digest = request_ids_.DigestOf(*trace);
+    request_ids_.Open(query.id_digest);
+    id_submitted_(query.id_digest);
+  }
   if (capture_) capture_->OnQuery(now, request, query.incoming.labels);
   balancer_.OnRequest(now, request, *this);
   return id;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -13,6 +13,7 @@
 
 #include "dispatch/dispatcher_state.h"
 #include "dispatch/query.h"
+#include "dispatch/request_ids.h"
 #include "io/scheduler.h"
 #include "meadowslip/balancer.h"
 #include "observe/capture.h"
@@ -36,6 +37,13 @@
   // No query stays open after `when`: new ones get no later deadline, and those still open then are answered.
   void SetShutdownDeadline(Micros when);
 
+  // Whether a request of this id is open, or may have run and must not run again, here or in the other
+  // process of a hand-over. Such a repeat is not to be submitted.
+  bool IsRepeat(std::string_view id) const { return request_ids_.Contains(request_ids_.DigestOf(id)); }
+  RequestIds& request_ids() { return request_ids_; }
+  // `callback` is called with each id that is submitted.
+  void OnIdSubmitted(std::function<void(RequestIdDigest)> callback) { id_submitted_ = std::move(callback); }
+
   void OnList(const meadowslip::BackendList& list);
   // The sink may be called at any time from here on, even before this returns.
   meadowslip::RequestId Submit(IncomingQuery incoming);
@@ -72,6 +80,7 @@
   struct Query {
     IncomingQuery incoming;  // its sink is nullptr once the query is closed
     bool closed = false;     // answered, or the client has left
+    RequestIdDigest id_digest = 0;
     Micros received_at = 0;
     int unreported = 0;  // attempts whose results have not been reported to the module
     std::vector<Attempt> attempts;
@@ -102,6 +111,7 @@
   void FireTimers();
   void AnswerAllOpen();
   void EraseEnded();
+  bool MustNotRunAgain(const Query& query) const;
   Query* FindQuery(meadowslip::RequestId id);
   Micros DefaultRetryAfter() const;
   ResponseSink* Close(meadowslip::RequestId id, Query& query, Figure how);
@@ -115,6 +125,8 @@
   const uint64_t seed_;
   Upstream& upstream_;
   std::function<void()> request_list_;
+  RequestIds request_ids_;
+  std::function<void(RequestIdDigest)> id_submitted_ = [](RequestIdDigest) {};
   Counters& counters_;
   Figures* figures_ = nullptr;
   Capture* capture_ = nullptr;
--- a/src/front/client_link.cpp
+++ b/src/front/client_link.cpp
@@ -225,6 +225,10 @@
     ++front_.parts_.counters.bad;
     ++front_.parts_.counters.unsound;
     PrepareAnswer(StatusOf(fault), "", "");
+  } else if (front_.parts_.dispatcher.IsRepeat(*message.Find(platform::kTraceId))) {
+    ++front_.parts_.counters.bad;
+    ++front_.parts_.counters.repeated_ids;
+    PrepareAnswer(409, "", "");
   } else if (FirstSegment(message.target).empty()) {
     ++front_.parts_.counters.bad;
     PrepareAnswer(404, "", "");
--- a/src/handover/handover.cpp
+++ b/src/handover/handover.cpp
@@ -1,14 +1,17 @@
 #include "handover/handover.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace burlfall {
 namespace {
 
-constexpr Micros kClaimTimeout = 1500 * kMs;    // to receive the complete state
-constexpr Micros kAcceptRetry = 200 * kMs;      // after an accept that failed for lack of descriptors
-constexpr Micros kListenTimeout = 3 * kSecond;  // for a successor to open its listener
-constexpr char kServingMessage[] = "SC";
+constexpr Micros kClaimTimeout = 1500 * kMs;        // to receive the complete state
+constexpr Micros kAcceptRetry = 200 * kMs;          // after an accept that failed for lack of descriptors
+constexpr Micros kListenTimeout = 3 * kSecond;      // for a successor to open its listener
+constexpr Micros kBegunRequestsTimeout = 50 * kMs;  // they follow the state at once
+constexpr char kServingMessage[] = "SCR";
+constexpr size_t kMaxUnsentIds = 16384;
 constexpr size_t kMaxUnsent = kMaxStateBytes / kMaxPartBytes + 1024;
 
 }  // namespace
@@ -51,6 +54,27 @@
   co_return none;
 }
 
+Task<> Handover::ReceiveBegunRequests() {
+  const Micros until = machine_.Now() + kBegunRequestsTimeout;
+  while (predecessor_ && !predecessor_->broken) {
+    std::string message;
+    std::unique_ptr<Stream> passed_stream;
+    const Io io = predecessor_->channel->Receive(message, passed_stream);
+    if (io == Io::kLater) {
+      bool notified = co_await predecessor_->channel->Wait(until);
+      if (!notified) co_return;
+    } else if (io != Io::kSome) {
+      predecessor_->broken = true;
+    } else if (message.front() != 'R') {
+      predecessor_->postponed.push_back(std::move(message));
+    } else if (const auto begun = Unpack<BegunRequests>(std::string_view(message).substr(1))) {
+      predecessor_->knows_ids = true;
+      handler_.OnPeerBegan(begun->ids);
+      if (begun->last) co_return;
+    }
+  }
+}
+
 void Handover::Serve() {
   if (predecessor_) {
     Send(*predecessor_, kServingMessage);
@@ -106,6 +130,7 @@
   } else if (std::optional<HandoverState> state = handler_.ReleaseListener(why)) {
     successor.claimed = true;
     for (std::string& part : SplitState(std::move(*state))) Send(successor, std::move(part));
+    QueueIds(successor, handler_.BegunRequestIds(), true);
     return;
   }
   LogRefused(why);
@@ -149,6 +174,8 @@
   // Resumes in a separate scheduler turn: a message that is already there must not end the task that starts
   // this one.
   co_await peer.channel->Wait(machine_.Now());
+  for (; !peer.postponed.empty(); peer.postponed.pop_front())
+    HandleMessage(peer, from_successor, peer.postponed.front(), nullptr);
   while (!peer.broken) {
     Flush(peer);
     std::string message;
@@ -192,6 +219,7 @@
       if (!from_successor || !peer.claimed || peer.serves) break;
       peer.serves = true;
       peer.can_confirm = rest.find('C') != std::string_view::npos;
+      peer.knows_ids = rest.find('R') != std::string_view::npos;
       accept_ = Task<>();  // destroyed before the listener that it waits on
       listener_.reset();   // the path belongs to the successor
       return handler_.OnSuccessorServing();
@@ -221,6 +249,12 @@
     case 'I':
       if (const auto call = node()) return handler_.OnPeerPutBack(*call);
       break;
+    case 'R': {
+      const std::optional<BegunRequests> begun = Unpack<BegunRequests>(rest);
+      if (!begun) break;
+      peer.knows_ids = true;
+      return handler_.OnPeerBegan(begun->ids);
+    }
     case 'A':
       return handler_.OnPeerDrain(true);
     case 'W':
@@ -257,6 +291,31 @@
       return;
     }
     peer.unsent.pop_front();
+    if (peer.unsent.empty() && !peer.unsent_ids.empty())
+      QueueIds(peer, std::exchange(peer.unsent_ids, {}), false);
+  }
+}
+
+void Handover::QueueIds(Peer& peer, const std::vector<uint64_t>& ids, bool last) {
+  size_t offset = 0;
+  do {
+    BegunRequests begun;
+    const size_t end = std::min(ids.size(), offset + kMaxIdsPerMessage);
+    begun.ids.assign(ids.begin() + static_cast<std::ptrdiff_t>(offset),
+                     ids.begin() + static_cast<std::ptrdiff_t>(end));
+    begun.last = last && end == ids.size();
+    peer.unsent.push_back(Pack('R', std::move(begun)));
+    offset = end;
+  } while (offset < ids.size());
+  Flush(peer);
+}
+
+// Ids that can't be sent at once are gathered, so that a process that reads late is sent few messages.
+void Handover::SendBegun(uint64_t id) {
+  for (Peer* peer : {predecessor_.get(), successor_.get()}) {
+    if (peer == nullptr || peer->broken || !(peer->knows_ids || (peer->claimed && !peer->serves))) continue;
+    if (peer->unsent_ids.size() < kMaxUnsentIds) peer->unsent_ids.push_back(id);
+    if (peer->unsent.empty()) QueueIds(*peer, std::exchange(peer->unsent_ids, {}), false);
   }
 }
 
--- a/src/handover/handover.h
+++ b/src/handover/handover.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "handover/handover_state.h"
 #include "io/machine.h"
@@ -36,6 +37,9 @@
   virtual void OnPeerTookOut(const NodeChange& call) = 0;
   virtual void OnPeerPutBack(const NodeChange& call) = 0;
   virtual void OnPeerDrain(bool drains) = 0;
+  // Callbacks to both: ids of the requests that must not be begun twice.
+  virtual std::vector<uint64_t> BegunRequestIds() = 0;
+  virtual void OnPeerBegan(const std::vector<uint64_t>& ids) = 0;
 
  protected:
   ~HandoverHandler() = default;
@@ -51,6 +55,9 @@
   // Claims the state of the serving process. Returns nullopt if there is none, or if it refuses, times out
   // or sends an invalid answer; this process then starts without a predecessor's state.
   Task<std::optional<HandoverState>> Claim();
+  // After Claim() returned a state: waits for the ids of the predecessor's requests, so that none of them
+  // begins here again. A predecessor of an earlier version sends none, and is waited for only briefly.
+  Task<> ReceiveBegunRequests();
   // The listener of this process is open: notifies the predecessor and waits for a successor.
   void Serve();
   // Passes a link to the successor. kLater: try again; kBroken: there is no successor.
@@ -65,6 +72,8 @@
   void SendTakenOut(const NodeChange& call);
   void SendPutBack(const NodeChange& call);
   void SendDrain(bool drains);
+  // A request has begun here: tells the other process, if there is one that knows the message.
+  void SendBegun(uint64_t id);
   void End();  // announces an orderly exit
   bool has_successor() const { return successor_ && successor_->serves; }
 
@@ -78,11 +87,14 @@
     bool ended = false;   // announced its orderly exit
     bool serves = false;  // successor only: its listener is open
     bool claimed = false;
-    bool can_confirm = false;        // successor only: it can confirm received links
-    bool confirm_requested = false;  // asked to confirm since the last link
-    uint64_t links = 0;              // links passed
-    uint64_t confirmed = 0;          // links that the successor confirmed
-    Task<> task;                     // last: what it uses must outlive it
+    bool can_confirm = false;           // successor only: it can confirm received links
+    bool knows_ids = false;             // it knows message R
+    std::vector<uint64_t> unsent_ids;   // sent once all messages before them are
+    std::deque<std::string> postponed;  // received before this process serves
+    bool confirm_requested = false;     // asked to confirm since the last link
+    uint64_t links = 0;                 // links passed
+    uint64_t confirmed = 0;             // links that the successor confirmed
+    Task<> task;                        // last: what it uses must outlive it
   };
 
   void Listen();
@@ -93,6 +105,7 @@
   void HandleClaim(Peer& successor, std::string_view bytes);
   void Send(Peer& peer, std::string message);
   void Flush(Peer& peer);
+  void QueueIds(Peer& peer, const std::vector<uint64_t>& ids, bool last);
   void SendAll(const std::string& message);
   void LogRefused(std::string_view what);
 
--- a/src/handover/handover_state.h
+++ b/src/handover/handover_state.h
@@ -4,7 +4,7 @@
 // A message is one packet: a letter and its content. Protocol version 1.
 //
 //   new to old   T  claim: protocol version, balancer name
-//                S  the successor's listener is open; then the letters of the other messages that it answers
+//                S  the successor's listener is open; then the letters of the other messages that it knows
 //                (none in earlier versions)
 //                K  answer to C: how many links it has received
 //   old to new   N  refusal, with the reason as text
@@ -15,6 +15,7 @@
 //   both ways    O  an operator took a node out of service: its name, since when
 //                I  an operator put the node back
 //                A  drain manually;  W  resume
+//                R  digests of the ids of requests that this process has begun, or knows of
 //                Q  this process exits in order
 #ifndef BURLFALL_HANDOVER_HANDOVER_STATE_H_
 #define BURLFALL_HANDOVER_HANDOVER_STATE_H_
@@ -36,6 +37,7 @@
 constexpr int kHandoverVersion = 1;
 constexpr size_t kMaxPartBytes = 32 * 1024;
 constexpr size_t kMaxStateBytes = 16 * 1024 * 1024;
+constexpr size_t kMaxIdsPerMessage = 2048;  // at most ten bytes each, and thus a packet
 
 // Message T: the successor claims the state.
 struct Claim {
@@ -83,6 +85,13 @@
   void Fields(auto& a) { a(name, since); }
 };
 
+// Message R: ids of requests, which must not be begun by the process that receives them.
+struct BegunRequests {
+  bool last = false;  // of those that the predecessor knew as it gave its state away
+  std::vector<uint64_t> ids;
+  void Fields(auto& a) { a(last, ids); }
+};
+
 // Pack() appends a checksum over the content. Unpack() returns nullopt if the content is truncated or
 // corrupted.
 template <typename T>
--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -34,6 +34,9 @@
 constexpr Micros kHandoverPollInterval = 10 * kMs;
 constexpr Micros kSendUseInterval = 100 * kMs;  // sends descriptors and memory in use to the successor
 
+// Ids kept of requests that must not run again, in proportion to the memory; each takes some 60 bytes.
+constexpr size_t kRequestIdsPerMegabyte = 256, kMaxRequestIds = 16384;
+
 // Limits on the operators' simultaneous connections, in proportion to the descriptors.
 constexpr size_t kMinOperatorConnections = 8, kMaxOperatorConnections = 32,
                  kDescriptorsPerOperatorConnection = 16;
@@ -120,6 +123,11 @@
         machine, properties.capture, config_, hosts_, [this] { return dispatcher_.Save(); }, log, counters_);
   }
   dispatcher_.Observe(figures_.get(), capture_.get());
+  dispatcher_.request_ids().SetCapacity(
+      std::min(kMaxRequestIds, static_cast<size_t>(config_.memory_mb) * kRequestIdsPerMegabyte));
+  dispatcher_.OnIdSubmitted([this](RequestIdDigest id) {
+    if (handover_) handover_->SendBegun(id);
+  });
   front_.OnAllAnswered([this] {
     all_answered_at_ = machine_.Now();
     phase_event_.Notify();
@@ -246,6 +254,7 @@
 Task<> Program::RunStart() {
   std::optional<HandoverState> estate;
   if (handover_) estate = co_await handover_->Claim();
+  if (estate) co_await handover_->ReceiveBegunRequests();
   if (estate && shutdown_requested_at_) {
     // The predecessor keeps the listener. Otherwise both processes would end, although only this one was
     // asked to end.
--- a/src/serve/program.h
+++ b/src/serve/program.h
@@ -102,6 +102,8 @@
   void OnPeerTookOut(const NodeChange& call) override;
   void OnPeerPutBack(const NodeChange& call) override;
   void OnPeerDrain(bool drains) override;
+  std::vector<uint64_t> BegunRequestIds() override { return dispatcher_.request_ids().All(); }
+  void OnPeerBegan(const std::vector<uint64_t>& ids) override;
 
   // Requests a change lease from the coordinator group.
   Task<ChangePermission> RequestChange(freeze::ChangeKind kind, freeze::Scope scope, std::string by,
--- a/src/serve/program_handover.cpp
+++ b/src/serve/program_handover.cpp
@@ -153,6 +153,10 @@
   RetrySaveOutFile();
 }
 
+void Program::OnPeerBegan(const std::vector<uint64_t>& ids) {
+  for (uint64_t id : ids) dispatcher_.request_ids().Keep(id);
+}
+
 void Program::OnPeerDrain(bool drains) { SetManualDrain(drains); }
 
 }  // namespace burlfall
--- a/tests/misbehaviour/closed_client_test.cpp
+++ b/tests/misbehaviour/closed_client_test.cpp
@@ -25,36 +25,41 @@
   ScriptedNode node({.delay = milliseconds(300)});
   Program program(LeastMemoryConfig(node, 256), InService());
   for (const size_t count : {50u, 400u, 3000u}) {
-    const std::string run = Numbered("p", count).append("-");
-    std::string pipeline;
-    for (size_t n = 0; n < count; ++n) pipeline += Unsafe(Numbered(run, n), ManyShortHeaders(20));
-    Descriptor client = ConnectWithoutBlocking(program.port);
-    pollfd one{client.get(), POLLOUT, 0};
-    poll(&one, 1, 1000);
-    size_t written = 0;
-    const Clock::time_point until = Clock::now() + milliseconds(400);
-    while (Clock::now() < until) {
-      const ssize_t n =
-          send(client.get(), pipeline.data() + written, pipeline.size() - written, MSG_NOSIGNAL);
-      if (n > 0) written += static_cast<size_t>(n);
-      // It has read what it was sent: closing over unread answers would reset the connection.
-      char answers[65536];
-      recv(client.get(), answers, sizeof answers, 0);
-      poll(nullptr, 0, 5);
+    // A distant client: its end comes behind its requests, and no reset tells of it before.
+    for (const bool distant : {false, true}) {
+      const std::string run = Numbered(distant ? "d" : "p", count).append("-");
+      std::string pipeline;
+      for (size_t n = 0; n < count; ++n) pipeline += Unsafe(Numbered(run, n), ManyShortHeaders(20));
+      Descriptor client = ConnectWithoutBlocking(program.port);
+      pollfd one{client.get(), POLLOUT, 0};
+      poll(&one, 1, 1000);
+      size_t written = 0;
+      const Clock::time_point until = Clock::now() + milliseconds(400);
+      while (Clock::now() < until) {
+        const ssize_t n =
+            send(client.get(), pipeline.data() + written, pipeline.size() - written, MSG_NOSIGNAL);
+        if (n > 0) written += static_cast<size_t>(n);
+        // It has read what it was sent: closing over unread answers would reset the connection.
+        char answers[65536];
+        recv(client.get(), answers, sizeof answers, 0);
+        poll(nullptr, 0, 5);
+      }
+      const Clock::time_point closed = Clock::now();
+      distant ? static_cast<void>(shutdown(client.get(), SHUT_WR)) : static_cast<void>(client = Descriptor());
+      poll(nullptr, 0, 1500);  // the requests that would be sent on afterwards
+      int late = 0;
+      double latest_ms = 0;
+      for (const ScriptedNode::Seen& query : node.Queries()) {
+        if (!query.trace.starts_with(run)) continue;
+        late += query.at > closed + kGoneSlack;
+        latest_ms = std::max(latest_ms, std::chrono::duration<double, std::milli>(query.at - closed).count());
+      }
+      WARN(count << (distant ? " pipelined by a distant client, " : " pipelined, ") << written << " of "
+                 << pipeline.size() << " bytes taken: " << late << " began after the close, the latest "
+                 << latest_ms << " ms after it");
+      CHECK(written == pipeline.size());
+      CHECK(late == 0);
     }
-    const Clock::time_point closed = Clock::now();
-    client = Descriptor();
-    poll(nullptr, 0, 1500);  // the requests that would be sent on afterwards
-    int late = 0;
-    double latest_ms = 0;
-    for (const ScriptedNode::Seen& query : node.Queries()) {
-      const double after = std::chrono::duration<double, std::milli>(query.at - closed).count();
-      late += query.at > closed + kGoneSlack && query.trace.starts_with(run);
-      latest_ms = std::max(latest_ms, after);
-    }
-    WARN(count << " pipelined, " << written << " of " << pipeline.size() << " bytes taken: " << late
-               << " began after the close, the latest " << latest_ms << " ms after it");
-    CHECK(late == 0);
   }
   CHECK(program.Wait(SIGTERM) == 0);
 }
