Front: no attempt begins for a client whose end may be hidden behind unread input

Cause: the end of a connection comes behind its bytes.

Change: an attempt begins only where the input was read dry, which shows that nothing came behind it. A request with more input behind it than is read ahead is refused at once with a time to come back (never sent, so harmless), which also empties the connection soon; for one that is open already, no further attempt begins. Counted as refused_unread.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -268,7 +268,6 @@
   return id;
 }
 
-// The retry time for queries that are refused without asking the module: by then some open ones have ended.
 Micros Dispatcher::DefaultRetryAfter() const {
   Micros aim = 0;
   for (const meadowslip::RequestClass& c : settings_.classes) aim = std::max(aim, c.aim);
@@ -339,7 +338,7 @@
       std::min(std::max(settings_.drain_grace, kMinDrainGrace) / 2, settings_.drain_grace + kSocketAllowance);
   const bool list_outdated = attempt.sent_at - scheduler_.last_poll_at() > max_pause;
   // The client's end may have been received in this pass of the loop, before its link has handled it.
-  const bool client_gone = query.incoming.sink != nullptr && query.incoming.sink->ClientGone();
+  const bool client_gone = query.incoming.sink != nullptr && query.incoming.sink->MayHaveLeft();
   if (query.closed || list_outdated || client_gone || !upstream_.Knows(backend) ||
       n >= settings_.max_attempts || until <= attempt.sent_at) {
     attempt.ended = true;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -58,6 +58,8 @@
   // state; it is then as new.
   bool ImportState(const DispatcherState& saved);
   size_t open() const { return queries_.size(); }
+  // The retry time for queries that are refused without asking the module: by then some open ones have ended.
+  Micros DefaultRetryAfter() const;
 
   // The module's actions.
   void Send(meadowslip::RequestId id, meadowslip::BackendId backend, Micros timeout) override;
@@ -113,7 +115,6 @@
   void EraseEnded();
   bool MustNotRunAgain(const Query& query) const;
   Query* FindQuery(meadowslip::RequestId id);
-  Micros DefaultRetryAfter() const;
   ResponseSink* Close(meadowslip::RequestId id, Query& query, Figure how);
   // `query` is nullptr if the choice concerns no known query.
   void CaptureChoice(Record::Choice did, meadowslip::RequestId id, const Query* query,
--- a/src/dispatch/query.h
+++ b/src/dispatch/query.h
@@ -20,8 +20,9 @@
   virtual void Serve(const Payload& answer) = 0;
   virtual void Throttle(Micros retry_after) = 0;  // 0: the client may retry at any time
   virtual void Fail() = 0;
-  // Whether the client is known to have left, even if Dispatcher::ClientLeft() has not been called yet.
-  virtual bool ClientGone() const = 0;
+  // Whether the client has left, as far as can be seen, even if Dispatcher::ClientLeft() has not been called
+  // yet. No attempt begins then.
+  virtual bool MayHaveLeft() const = 0;
 
  protected:
   ~ResponseSink() = default;
--- a/src/front/client_link.cpp
+++ b/src/front/client_link.cpp
@@ -204,6 +204,7 @@
   http_1_0_client_ = message.http_1_0;
   head_only_ = message.method == "HEAD";
   answered_ = false;
+  has_unread_input_ = false;
   const meadowslip::Settings& settings = front_.parts_.config.settings;
   std::string_view path = std::string_view(message.target).substr(0, message.target.find('?'));
   int request_class = ClassOf(front_.classes_, FirstSegment(message.target));
@@ -259,12 +260,22 @@
     if (request_class < 0) query.labels.unknown_class = FirstSegment(payload->target);
     // Starts no attempt for a client that has left: if its end arrived in one batch with the query, or behind
     // pipelined ones, there is no further notification of it.
-    if (upload_ ? stream_->PeerEnded() : !ReadAhead()) {
+    const ClientState client = upload_ == nullptr     ? ReadAhead()
+                               : stream_->PeerEnded() ? ClientState::kLeft
+                                                      : ClientState::kPresent;
+    if (client == ClientState::kLeft) {
       ++front_.parts_.counters.taken;
       ++front_.parts_.counters.left;
       if (Figures* figures = front_.parts_.figures) figures->Add(query.labels.series, Figure::kLeft);
       co_return false;
     }
+    if (client == ClientState::kUnknown) {
+      ++front_.parts_.counters.refused_unread;
+      if (Figures* figures = front_.parts_.figures) figures->Add(query.labels.series, Figure::kThrottled);
+      Throttle(front_.parts_.dispatcher.DefaultRetryAfter());
+      bool refused = co_await WriteAnswer();
+      co_return refused && !close_after_answer_;
+    }
     payload->body_rest = upload_;
     query.payload = std::move(payload);
     const meadowslip::RequestId id = front_.parts_.dispatcher.Submit(std::move(query));
@@ -275,7 +286,7 @@
     // Bytes behind a large body have not been read yet: in that case reads before it waits.
     for (bool wait_first = !upload_; !answered_; wait_first = true) {
       if (wait_first) co_await stream_->Wait();
-      if (!answered_ && !ReadAhead()) {
+      if (!answered_ && ReadAhead() == ClientState::kLeft) {
         front_.parts_.dispatcher.ClientLeft(id);
         co_return false;
       }
@@ -473,14 +484,18 @@
   return true;
 }
 
-// Reads bytes of the next query while one is open. Returns false if the client has closed the link.
-bool ClientLink::ReadAhead() {
-  while (in_.size() < kMaxHead + kMaxHeldBody) {  // the client has to wait with more
+// Reads bytes of the next queries while one is open, to see whether the client has closed the link behind
+// them.
+ClientLink::ClientState ClientLink::ReadAhead() {
+  has_unread_input_ = false;
+  while (in_.size() < kMaxHead + kMaxHeldBody) {
     Io io = stream_->Read(in_);
-    if (io == Io::kLater) return true;
-    if (io != Io::kSome) return false;
+    if (io == Io::kLater) return ClientState::kPresent;
+    if (io != Io::kSome) return ClientState::kLeft;
   }
-  return !stream_->PeerEnded();
+  if (stream_->PeerEnded()) return ClientState::kLeft;
+  has_unread_input_ = true;
+  return ClientState::kUnknown;
 }
 
 void ClientLink::Serve(const Payload& payload) {
--- a/src/front/client_link.h
+++ b/src/front/client_link.h
@@ -35,7 +35,8 @@
   void Serve(const Payload& answer) override;
   void Throttle(Micros retry_after) override;
   void Fail() override;
-  bool ClientGone() const override { return stream_->PeerEnded(); }
+  // An end of the client behind input that has not been read can't be seen.
+  bool MayHaveLeft() const override { return has_unread_input_ || stream_->PeerEnded(); }
 
   // Whether the link is open and has had no query, complete or not, since `then`.
   bool IdleSince(Micros then) const {
@@ -72,7 +73,12 @@
   bool SendContinue();
   bool BufferWholeBody();
   bool IsPaced() const;  // the next request is not to be read yet
-  bool ReadAhead();
+  enum class ClientState {
+    kPresent,
+    kLeft,
+    kUnknown,  // it has sent more than is read ahead
+  };
+  ClientState ReadAhead();
   void PrepareAnswer(int status, const std::string& headers, std::string_view body,
                      const BodySource* body_rest = nullptr);
 
@@ -96,6 +102,7 @@
   Micros paced_until_ = 0;
   bool busy_ = false;
   bool answered_ = false;
+  bool has_unread_input_ = false;    // behind what was read ahead
   bool close_after_answer_ = false;  // the link closes after this answer
   bool close_when_idle_ = false;
   bool abort_unfinished_ = false;
--- a/src/observe/counters.cpp
+++ b/src/observe/counters.cpp
@@ -29,6 +29,7 @@
   rare("unasked", unasked);
   rare("unsound", unsound);
   rare("repeated_ids", repeated_ids);
+  rare("refused_unread", refused_unread);
   rare("denied", denied);
   rare("limited", limited);
   rare("not_ready", not_ready);
--- a/tests/attempts/attempts_test.cpp
+++ b/tests/attempts/attempts_test.cpp
@@ -211,7 +211,7 @@
   void Serve(const Payload&) override { ++answers; }
   void Throttle(Micros) override { ++answers; }
   void Fail() override { ++answers; }
-  bool ClientGone() const override { return gone; }
+  bool MayHaveLeft() const override { return gone; }
   int answers = 0;
   bool gone = false;
 };
--- a/tests/histories/stall_test.cpp
+++ b/tests/histories/stall_test.cpp
@@ -28,7 +28,7 @@
   void Serve(const Payload&) override { ++answers; }
   void Throttle(Micros) override { ++answers; }
   void Fail() override { ++answers; }
-  bool ClientGone() const override { return false; }
+  bool MayHaveLeft() const override { return false; }
   int answers = 0;
 };
 
