Front: all that clients send is charged to a budget, and stalled requests make room

Cause: the budget of bytes began at 64 KiB of a body; the first 64 KiB, input read ahead (80 KiB a link), heads and the spare capacity of strings were outside it. What a link had read stayed with it while it lingered.

Each link and each payload holds a share; 2 KiB of a message cost nothing, so that small ones are never without. A request that finds no memory takes it from those that have stalled for longest; if there are none it is refused with a time to come back. Reads are as small as the head needs, buffers go back at once, a stream's window follows the budget, input is read ahead only within it. Links whose client has its last answer end after 100 ms where connections wait for their descriptors.

--- a/src/codec/http.cpp
+++ b/src/codec/http.cpp
@@ -108,6 +108,16 @@
   return "Unknown";
 }
 
+size_t HttpMessage::HeldBytes() const {
+  const size_t inside = std::string().capacity();  // strings up to this size are inside their object
+  const auto heap = [inside](const std::string& text) {
+    return text.capacity() > inside ? text.capacity() + 1 : 0;
+  };
+  size_t bytes = heap(method) + heap(target) + heap(body) + headers.capacity() * sizeof(Header);
+  for (const Header& h : headers) bytes += heap(h.name) + heap(h.value);
+  return bytes;
+}
+
 const std::string* HttpMessage::Find(std::string_view name) const {
   for (const Header& h : headers) {
     if (EqualsIgnoreCase(h.name, name)) return &h.value;
@@ -144,6 +154,7 @@
     }
     Parsed framing = Framing();
     if (framing != Parsed::kDone) return framing;
+    head_bytes_ = message_.HeldBytes();
   }
   const Parsed parsed = deferred_error_ != Parsed::kMore ? deferred_error_ : Body(buffer);
   const bool exceeds_hold_limit =
@@ -176,18 +187,23 @@
   return Parsed::kDone;
 }
 
+size_t HttpParser::HeldBytes() const {
+  return state_ == State::kHead ? 0 : head_bytes_ + message_.body.capacity();
+}
+
 bool HttpParser::ExpectsContinue() { return std::exchange(expects_continue_, false); }
 
 HttpMessage HttpParser::TakeHead() {
   head_taken_ = true;
   HttpMessage head = std::exchange(message_, HttpMessage());
   message_.status = head.status;
+  head_bytes_ = 0;
   return head;
 }
 
 HttpMessage HttpParser::Take() {
   state_ = State::kHead;
-  scanned_ = interim_bytes_ = remaining_ = trailer_lines_ = body_bytes_ = 0;
+  scanned_ = interim_bytes_ = remaining_ = trailer_lines_ = body_bytes_ = head_bytes_ = 0;
   length_.reset();
   hold_limit_ = default_hold_limit_;
   deferred_error_ = Parsed::kMore;
--- a/src/codec/http.h
+++ b/src/codec/http.h
@@ -38,6 +38,7 @@
   // The value of the first header of this name; nullptr if there is none.
   const std::string* Find(std::string_view name) const;
   bool HasConnectionOption(std::string_view word) const;  // whether a `Connection` header lists it
+  size_t HeldBytes() const;                               // memory that its parts take beside the object
 };
 
 // An HTTP request or response as the payload of a query or an answer.
@@ -76,7 +77,9 @@
   bool HasBodyBytes() const { return state_ != State::kHead && !message_.body.empty(); }
   std::string& body() { return message_.body; }  // received so far; after TakeHead() the caller may empty it
   std::optional<size_t> length() const { return length_; }
-  void SetHoldLimit(size_t bytes) { hold_limit_ = bytes; }     // for the current message
+  void SetHoldLimit(size_t bytes) { hold_limit_ = bytes; }  // for the current message
+  size_t hold_limit() const { return hold_limit_; }
+  size_t HeldBytes() const;                                    // memory that the current message takes
   void ExpectNoBody() { no_body_ = true; }                     // the next response answers a HEAD request
   bool ReadingHead() const { return state_ == State::kHead; }  // its bytes are still in the buffer
   int Status() const { return state_ == State::kHead ? 0 : message_.status; }  // 0 until the head is complete
@@ -100,6 +103,7 @@
   size_t body_bytes_ = 0;  // received so far
   size_t hold_limit_;
   size_t default_hold_limit_ = hold_limit_;
+  size_t head_bytes_ = 0;  // memory that the message's head takes
   std::optional<size_t> length_;
   Parsed deferred_error_ = Parsed::kMore;  // an error in the body, reported after kHeadComplete
   bool head_taken_ = false;                // TakeHead() was called for the current message
--- a/src/front/client_link.cpp
+++ b/src/front/client_link.cpp
@@ -23,11 +23,17 @@
 constexpr Micros kWriteTimeout = 10 * kSecond;
 constexpr Micros kLingerTimeout = 1 * kSecond;
 constexpr Micros kLingerUnreadTimeout = 5 * kSecond;  // if a large query was answered before it was complete
-// If descriptors run short, other clients wait for this link's; its client closes within a round trip.
+// If descriptors run short, or connections wait to be accepted, other clients wait for this link's
+// descriptor; its client closes within a round trip.
 constexpr Micros kLingerTightTimeout = 100 * kMs;
 constexpr size_t kMaxDropped = kMaxStreamedBody;  // bytes read after the last answer: a large query's body
 constexpr Micros kMaxSizeHint = 3600 * kSecond;
 constexpr size_t kMaxBytesPerTurn = 64 * 1024;  // read or written before other links get their turn
+constexpr size_t kHeadReadBytes = 4096;         // in one read: most requests are smaller
+constexpr size_t kMaxReadAhead = kMaxHead + kMaxHeldBody;
+constexpr size_t kAheadReadBytes = 16 * 1024;
+// Bytes of a body that pass from a client to its server at a time, in each of the buffers on the way.
+constexpr size_t kStreamWindow = 16 * 1024, kNarrowStreamWindow = 2048, kStreamBuffers = 4;
 
 // Parses a number of microseconds from 1 to kMaxSizeHint; returns 0 for anything else.
 Micros ParseSize(const std::string* text) {
@@ -38,6 +44,9 @@
                                                                                                         : 0;
 }
 
+// An assignment of an empty string would keep the memory.
+void FreeMemory(std::string& text) { std::string().swap(text); }
+
 std::string_view FirstSegment(std::string_view target) {
   target.remove_prefix(1);
   return target.substr(0, target.find_first_of("/?"));
@@ -58,8 +67,9 @@
     : had_query(from.had_query),
       front_(front),
       stream_(std::move(stream)),
-      parser_(HttpParser::Kind::kRequest, front.parts_.config.in_service ? kMaxStreamedBody : kMaxHeldBody),
-      share_(front.bytes()),
+      parser_(HttpParser::Kind::kRequest, front.parts_.config.in_service ? kMaxStreamedBody : kMaxHeldBody,
+              ByteBudget::kFreeBytes),
+      share_(front.parts_.memory.requests),
       in_(std::move(from.buffered)),
       inherited_began_at_(from.query_began_at) {}
 
@@ -98,7 +108,7 @@
     front_.OnQueryStarted(*this);
     bool keep_open = co_await HandleQuery();
     busy_ = false;
-    share_.Clear();
+    AccountForInput();
     idle_since_ = stream_->scheduler().Now();
     front_.OnQueryEnded(*this);
     if (!keep_open) break;
@@ -125,20 +135,27 @@
   query_began_at_ = std::exchange(inherited_began_at_, 0);
   size_t read_this_turn = 0;
   while (true) {
+    if (refused_for_memory_) break;
     if (query_began_at_ == 0 && !in_.empty()) query_began_at_ = stream_->scheduler().Now();
     Parsed parsed = in_.empty() ? Parsed::kMore : parser_.Feed(in_);
-    if (parsed == Parsed::kHeadComplete && BufferWholeBody()) continue;
-    if (parsed == Parsed::kDone || parsed == Parsed::kHeadComplete) {
-      if (parsed == Parsed::kHeadComplete) {
-        upload_ = std::make_shared<Upload>(stream_->scheduler(), [this] { stream_->Notify(); });
-        upload_->length = parser_.length();
-      }
+    while (parsed == Parsed::kHeadComplete && BufferWholeBody()) parsed = parser_.Feed(in_);
+    const bool has_memory = AccountForInput();
+    if (parsed == Parsed::kDone) {
+      query_lacks_memory_ = !has_memory;
+      co_return true;
+    }
+    if (parsed == Parsed::kHeadComplete && MayStreamBody()) {
+      StartUpload();
       co_return true;
     }
+    if (parsed == Parsed::kHeadComplete || (parsed == Parsed::kMore && !has_memory)) {
+      RefuseForMemory();
+      continue;
+    }
     Io io = Io::kSome;
     if (parsed == Parsed::kMore && SendContinue()) {
       const size_t before = in_.size();
-      io = stream_->Read(in_);
+      io = stream_->Read(in_, parser_.ReadingHead() ? kHeadReadBytes : Stream::kMaxReadBytes);
       if (io == Io::kSome) {
         progress_at_ = stream_->scheduler().Now();
         read_this_turn += in_.size() - before;
@@ -165,6 +182,43 @@
     co_await WriteAnswer();
     co_return false;
   }
+  close_after_answer_ = true;
+  Throttle(front_.parts_.dispatcher.DefaultRetryAfter());
+  co_await WriteAnswer();
+  co_return false;
+}
+
+// ---- Memory ----------------------------------------------------------------------------------------------
+
+// Accounts for the input that the link holds. If memory is short, links whose requests make no progress are
+// given up for it. Returns false if it is still short then: the input must be given up.
+bool ClientLink::AccountForInput() {
+  if (in_.empty() && in_.capacity() > ByteBudget::kFreeBytes) FreeMemory(in_);
+  if (in_.capacity() > kHeadReadBytes && in_.size() < in_.capacity() / 4) in_.shrink_to_fit();
+  return ReserveInput(in_.capacity() + parser_.HeldBytes());
+}
+
+bool ClientLink::ReserveInput(size_t bytes) {
+  if (share_.Resize(bytes)) return true;
+  return front_.FreeRequestMemory(bytes, *this) && share_.Resize(bytes);
+}
+
+void ClientLink::ReleaseInput() {
+  FreeMemory(in_);
+  parser_.Take();
+  share_.Clear();
+}
+
+HeldRequestBytes ClientLink::HeldBytes(Micros now) const {
+  const bool arriving = !busy_ && !ended_ && !refused_for_memory_ && query_began_at_ != 0;
+  return {arriving ? share_.held() : 0, now - std::max(query_began_at_, progress_at_)};
+}
+
+void ClientLink::RefuseForMemory() {
+  ++front_.parts_.counters.refused_memory;
+  refused_for_memory_ = true;
+  ReleaseInput();
+  stream_->Notify();
 }
 
 // The head must be complete within kReadTimeout; a body need only make progress after that.
@@ -178,18 +232,32 @@
 // Reserves memory for the whole body, if the budget allows it: its server then does not wait for a slow
 // client, and the module may send the query again.
 bool ClientLink::BufferWholeBody() {
-  const size_t held = kMaxHeldBody + share_.held();
-  const size_t wanted = parser_.length().value_or(held + kMaxHeldBody);
-  if (!share_.Grow(wanted - held)) return false;
+  const size_t limit = parser_.length().value_or(parser_.hold_limit() + kMaxHeldBody);
+  if (limit <= parser_.hold_limit()) return false;
+  if (!ReserveInput(in_.capacity() + parser_.HeldBytes() - parser_.body().capacity() + limit)) return false;
   try {
-    if (parser_.length()) parser_.body().reserve(wanted);
+    parser_.body().reserve(limit);
   } catch (const std::bad_alloc&) {
     return false;  // the system has less memory than the budget allows: the body is streamed
   }
-  parser_.SetHoldLimit(wanted);
+  parser_.SetHoldLimit(limit);
   return true;
 }
 
+// A body that the budget has no memory for is streamed if it is large, and refused otherwise: a small one
+// that arrives slowly would occupy a server for longer than it is worth.
+bool ClientLink::MayStreamBody() const {
+  return front_.parts_.config.in_service && parser_.length().value_or(kMaxStreamedBody) > kMaxHeldBody;
+}
+
+void ClientLink::StartUpload() {
+  upload_ = std::make_shared<Upload>(stream_->scheduler(), [this] { stream_->Notify(); });
+  upload_->length = parser_.length();
+  const size_t held = in_.capacity() + parser_.HeldBytes();
+  const bool wide = share_.Resize(held + kStreamBuffers * kStreamWindow);
+  upload_window_ = wide ? kStreamWindow : kNarrowStreamWindow;
+}
+
 // Sends "100 Continue" if the client waits for it. Returns false if it can't be written.
 bool ClientLink::SendContinue() {
   if (!parser_.ExpectsContinue()) return true;
@@ -200,6 +268,7 @@
 // Answers one query. Returns false if the link is to be closed.
 Task<bool> ClientLink::HandleQuery() {
   HttpMessage message = upload_ ? parser_.TakeHead() : parser_.Take();
+  ByteBudget::Share memory = share_.Take(message.HeldBytes());
   close_after_answer_ = !message.keep_alive;
   http_1_0_client_ = message.http_1_0;
   head_only_ = message.method == "HEAD";
@@ -255,6 +324,7 @@
                                                : 0;
     query.request.give_up_at = sent_at + answer_timeout_;
     auto payload = std::make_unique<HttpPayload>(std::move(message));
+    if (memory.held() > 0) payload->memory = std::make_shared<ByteBudget::Share>(std::move(memory));
     query.labels.trace = payload->Find(platform::kTraceId);
     query.labels.tenant = payload->Find(platform::kTenant);
     if (request_class < 0) query.labels.unknown_class = FirstSegment(payload->target);
@@ -269,8 +339,8 @@
       if (Figures* figures = front_.parts_.figures) figures->Add(query.labels.series, Figure::kLeft);
       co_return false;
     }
-    if (client == ClientState::kUnknown) {
-      ++front_.parts_.counters.refused_unread;
+    if (client == ClientState::kUnknown || query_lacks_memory_) {
+      ++(query_lacks_memory_ ? front_.parts_.counters.refused_memory : front_.parts_.counters.refused_unread);
       if (Figures* figures = front_.parts_.figures) figures->Add(query.labels.series, Figure::kThrottled);
       Throttle(front_.parts_.dispatcher.DefaultRetryAfter());
       bool refused = co_await WriteAnswer();
@@ -350,9 +420,8 @@
 // Reads more of the body, as far as the buffer has space. Returns 0 on success, an HTTP status if the body is
 // invalid, and a negative number if the client has closed the link.
 int ClientLink::ReadBody() {
-  const size_t max_buffered = front_.max_buffered_upload();
   bool has_input = !in_.empty();
-  while (upload_->held() < max_buffered) {
+  while (upload_->held() < upload_window_) {
     if (has_input) {
       const Parsed parsed = parser_.Feed(in_);
       upload_->Append(parser_.body());
@@ -364,7 +433,8 @@
       if (parsed == Parsed::kBad) return 400;
       if (parsed == Parsed::kTooLarge) return 413;
     }
-    const Io io = stream_->Read(in_);
+    if (in_.empty()) FreeMemory(in_);
+    const Io io = stream_->Read(in_, upload_window_);
     if (io == Io::kLater) return 0;
     if (io != Io::kSome) return -1;
     has_input = true;
@@ -488,8 +558,8 @@
 // them.
 ClientLink::ClientState ClientLink::ReadAhead() {
   has_unread_input_ = false;
-  while (in_.size() < kMaxHead + kMaxHeldBody) {
-    Io io = stream_->Read(in_);
+  while (const size_t room = ReadAheadRoom()) {
+    Io io = stream_->Read(in_, room);
     if (io == Io::kLater) return ClientState::kPresent;
     if (io != Io::kSome) return ClientState::kLeft;
   }
@@ -498,6 +568,18 @@
   return ClientState::kUnknown;
 }
 
+// How many bytes may be read ahead now, as far as memory allows.
+size_t ClientLink::ReadAheadRoom() {
+  if (in_.size() >= kMaxReadAhead) return 0;
+  if (in_.size() < ByteBudget::kFreeBytes) return ByteBudget::kFreeBytes - in_.size();
+  const size_t wanted = std::min(kMaxReadAhead, std::max(2 * in_.capacity(), kAheadReadBytes));
+  if (wanted > in_.capacity()) {
+    if (!share_.Resize(wanted)) return 0;
+    in_.reserve(wanted);
+  }
+  return in_.capacity() - in_.size();
+}
+
 void ClientLink::Serve(const Payload& payload) {
   const auto& answer = static_cast<const HttpPayload&>(payload);
   std::string headers;
@@ -577,18 +659,30 @@
                                                                : kLingerTightTimeout;
   const Micros until = stream_->scheduler().Now() + linger_time;
   size_t dropped = 0;
+  ReleaseInput();
   stream_->Finish();
   front_.OnSendingEnded();
+  Micros quiet_since = stream_->scheduler().Now();
   while (true) {
-    in_.clear();
-    Io io = stream_->Read(in_);
+    size_t received = 0;
+    const Io io = Discard(received);
     if (io != Io::kSome && io != Io::kLater) co_return;
-    dropped += in_.size();
+    dropped += received;
     const Micros now = stream_->scheduler().Now();
     if (now >= until || dropped > kMaxDropped) co_return;
+    if (received > 0) quiet_since = now;
+    if (!upload_ && front_.connections_wait() && now >= quiet_since + kLingerTightTimeout) co_return;
     // Reads one piece per turn: a client that sends without pause must not starve others or outlast `until`.
-    co_await stream_->Wait(io == Io::kSome ? now : until);
+    co_await stream_->Wait(io == Io::kSome ? now : std::min(until, now + kLingerTightTimeout));
   }
 }
 
+// Reads one piece of the input and drops it.
+Io ClientLink::Discard(size_t& received) {
+  std::string piece;
+  const Io io = stream_->Read(piece);
+  received = piece.size();
+  return io;
+}
+
 }  // namespace burlfall
--- a/src/front/client_link.h
+++ b/src/front/client_link.h
@@ -11,8 +11,8 @@
 #include "front/local_answer_pacer.h"
 #include "front/upload.h"
 #include "io/network.h"
-#include "links/byte_budget.h"
 #include "links/link_shedding.h"
+#include "links/memory_budgets.h"
 
 namespace burlfall {
 
@@ -49,6 +49,9 @@
   // Whether, in addition, nothing has been received since `then`.
   bool StalledSince(Micros then) const { return UnfinishedSince(then) && progress_at_ <= then; }
   LinkStatus Status(Micros now) const;
+  HeldRequestBytes HeldBytes(Micros now) const;  // of a request that is still arriving
+  // Gives up an arriving request and its memory, and answers that it may be tried again.
+  void RefuseForMemory();
   bool Ended() const { return ended_; }  // this side of the link has ended
   bool Ending() const { return ended_ || (!busy_ && (close_when_idle_ || abort_unfinished_)); }
   void WakeUp() { stream_->Notify(); }  // makes the link check its state again
@@ -69,9 +72,16 @@
   Task<bool> WriteRest();
   bool RefusedAtAdmission(const HttpMessage& message, int request_class);
   Task<> Linger();
+  Io Discard(size_t& received);
   Micros ReadDeadline() const;
   bool SendContinue();
   bool BufferWholeBody();
+  bool MayStreamBody() const;
+  void StartUpload();
+  bool AccountForInput();
+  bool ReserveInput(size_t bytes);
+  void ReleaseInput();
+  size_t ReadAheadRoom();
   bool IsPaced() const;  // the next request is not to be read yet
   enum class ClientState {
     kPresent,
@@ -85,10 +95,11 @@
   HttpFront& front_;
   std::unique_ptr<Stream> stream_;
   HttpParser parser_;
-  ByteBudget::Share share_;  // the bytes that the open query holds beyond kMaxHeldBody
+  ByteBudget::Share share_;  // of the input, and of the buffers of an upload
   std::string in_;
   std::string out_;
   std::shared_ptr<Upload> upload_;         // of the open query, if it is large
+  size_t upload_window_ = 0;               // bytes of it that are read ahead of its server
   Micros answer_timeout_ = 0;              // of its client, from its last byte on
   std::shared_ptr<BodySource> body_rest_;  // the rest of the answer's body
   bool chunked_ = false;                   // that rest is sent with chunked encoding
@@ -102,6 +113,8 @@
   Micros paced_until_ = 0;
   bool busy_ = false;
   bool answered_ = false;
+  bool refused_for_memory_ = false;  // the arriving request was given up
+  bool query_lacks_memory_ = false;  // the query that was just read
   bool has_unread_input_ = false;    // behind what was read ahead
   bool close_after_answer_ = false;  // the link closes after this answer
   bool close_when_idle_ = false;
--- a/src/front/http_front.cpp
+++ b/src/front/http_front.cpp
@@ -22,9 +22,6 @@
 constexpr size_t kMaxAcceptedPerTurn = 64;
 constexpr size_t kServerLinksDivisor = 4;  // at least a quarter of the link budget is left to server links
 constexpr size_t kSpareLinksDivisor = 8;   // an eighth of the client links is kept free of open queries
-constexpr size_t kMinBufferedUpload = 4096;
-constexpr size_t kBodyMemoryDivisor =
-    8;  // an eighth of the memory for held bodies, and as much for streamed ones
 
 // Adopts the listener that was passed to the process, or opens one.
 std::unique_ptr<Listener> OpenListener(const HttpFront::Parts& parts) {
@@ -44,7 +41,6 @@
       classes_(parts.config.settings.classes),
       tenants_(parts.config.settings.tenants),
       listener_(OpenListener(parts)),
-      bytes_(static_cast<size_t>(parts.config.memory_mb) * 1024 * 1024 / kBodyMemoryDivisor),
       sweep_event_(parts.machine.scheduler()),
       erase_event_(parts.machine.scheduler()) {}
 
@@ -137,6 +133,7 @@
     // When descriptors are short, accepting is retried after a pause: the edge-triggered listener does not
     // report connections that already wait.
     const bool all = result == Accepting::kAllAccepted;
+    connections_wait_ = !all;
     co_await listener_->Wait(all ? kNever : parts_.machine.Now() + kAcceptRetryDelay);
   }
 }
@@ -257,11 +254,20 @@
   return links - std::max<size_t>(1, links / kSpareLinksDivisor);
 }
 
-// Sized so that all links together stay within an eighth of the memory.
-size_t HttpFront::max_buffered_upload() const {
-  const size_t links = static_cast<size_t>(parts_.config.sockets) / 2;
-  const size_t all = static_cast<size_t>(parts_.config.memory_mb) * 1024 * 1024 / kBodyMemoryDivisor;
-  return std::clamp(all / links, kMinBufferedUpload, kMaxHeldBody);
+bool HttpFront::FreeRequestMemory(size_t wanted, const ClientLink& wanting) {
+  const Micros now = parts_.machine.Now();
+  std::vector<ClientLink*> links;
+  std::vector<HeldRequestBytes> held;
+  for (const Links* some : {&new_links_, &used_links_}) {
+    for (const auto& link : *some) {
+      if (link.get() == &wanting) continue;
+      links.push_back(link.get());
+      held.push_back(link->HeldBytes(now));
+    }
+  }
+  const std::vector<size_t> chosen = ChooseLinksToFree(held, wanted);
+  for (size_t i : chosen) links[i]->RefuseForMemory();
+  return !chosen.empty();
 }
 
 void HttpFront::OnQueryStarted(ClientLink& link) {
--- a/src/front/http_front.h
+++ b/src/front/http_front.h
@@ -18,7 +18,7 @@
 #include "gates/tokens.h"
 #include "io/machine.h"
 #include "links/budget.h"
-#include "links/byte_budget.h"
+#include "links/memory_budgets.h"
 #include "observe/counters.h"
 #include "observe/figures.h"
 
@@ -38,6 +38,7 @@
     const Config& config;
     Dispatcher& dispatcher;
     LinkBudget& budget;
+    MemoryBudgets& memory;
     Tokens& tokens;
     RateLimiter& rate_limiter;
     Figures* figures;  // nullptr: off
@@ -106,8 +107,11 @@
   // Whether descriptors run short, or client links hold more than their third of them: some clients keep a
   // link open for good after one query, which would shut others out.
   bool tight() const { return parts_.budget.tight() || crowded(); }
-  ByteBudget& bytes() { return bytes_; }
-  size_t max_buffered_upload() const;  // bytes of a streamed query between client and server
+  // Gives up requests of other links than `wanting` that hold memory and make no progress, for at least
+  // `wanted` bytes if possible. Returns false if there are none.
+  bool FreeRequestMemory(size_t wanted, const ClientLink& wanting);
+  // Whether connections wait because no descriptor is left for them.
+  bool connections_wait() const { return connections_wait_; }
   bool handing_over() const { return static_cast<bool>(hand_over_link_); }
   Io HandOver(Stream& stream, const HandedOverLink& as) { return hand_over_link_(stream, as); }
   void OnQueryStarted(ClientLink& link);
@@ -120,11 +124,11 @@
   State state_ = State::kNotOpen;
   std::unique_ptr<Listener> listener_;
   bool not_accepting_ = true;
+  bool connections_wait_ = false;
   HandOverLink hand_over_link_;
   int open_queries_ = 0;    // links with an open query
   Micros finished_at_ = 0;  // when the sending side of a link was last ended
   std::function<void()> all_answered_ = [] {};
-  ByteBudget bytes_;  // for bodies that are held completely
   Event sweep_event_;
   Event erase_event_;
   std::vector<ClientLink*> ended_links_;
--- a/src/io/network.h
+++ b/src/io/network.h
@@ -4,6 +4,7 @@
 #ifndef BURLFALL_IO_NETWORK_H_
 #define BURLFALL_IO_NETWORK_H_
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -32,11 +33,14 @@
 class Stream : public Signal {
  public:
   enum class State { kOpening, kUp, kFailed };
+  static constexpr size_t kMaxReadBytes = 16 * 1024;
 
   using Signal::Signal;
   virtual ~Stream() = default;
-  virtual State Opened() = 0;                     // of a connection made by Connect()
-  virtual Io Read(std::string& into) = 0;         // appends what has arrived, up to a bounded size
+  virtual State Opened() = 0;  // of a connection made by Connect()
+  // Appends what has arrived, at most `max_bytes` and kMaxReadBytes.
+  virtual Io Read(std::string& into, size_t max_bytes) = 0;
+  Io Read(std::string& into) { return Read(into, kMaxReadBytes); }
   virtual Io Write(std::string_view& bytes) = 0;  // removes the accepted bytes from the front
   virtual bool IsIdle() = 0;                      // open, with no unread bytes: fit for reuse
   // Whether the peer has ended its sending or is gone; known even while earlier bytes are still unread.
--- a/src/io/real_network.cpp
+++ b/src/io/real_network.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -36,11 +37,13 @@
     return up ? State::kUp : State::kOpening;
   }
 
-  Io Read(std::string& into) override {
-    std::array<char, 16384> piece;
+  using Stream::Read;
+  Io Read(std::string& into, size_t max_bytes) override {
+    std::array<char, kMaxReadBytes> piece;
+    const size_t size = std::min(max_bytes, piece.size());
     while (true) {
-      ssize_t n = recv(fd_.get(), piece.data(), piece.size(), 0);
-      if (n < 0 && errno == ENOTSOCK) n = read(fd_.get(), piece.data(), piece.size());
+      ssize_t n = recv(fd_.get(), piece.data(), size, 0);
+      if (n < 0 && errno == ENOTSOCK) n = read(fd_.get(), piece.data(), size);
       if (n > 0) {
         into.append(piece.data(), static_cast<size_t>(n));
         return Io::kSome;
--- a/src/links/link_shedding.h
+++ b/src/links/link_shedding.h
@@ -26,6 +26,17 @@
 // that was answered a moment ago may send its next query.
 std::vector<size_t> ChooseLinksToClose(std::span<const LinkStatus> links, size_t wanted);
 
+// What a link holds of a request that is still arriving.
+struct HeldRequestBytes {
+  size_t bytes = 0;     // 0: none that could be given up
+  int64_t stalled = 0;  // microseconds since it last received anything
+};
+
+// Returns the indices of the links to give up so that at least `wanted` bytes become free, if that many can
+// be freed: those whose bytes have made no progress for longest first. Leaves out links that still make
+// progress.
+std::vector<size_t> ChooseLinksToFree(std::span<const HeldRequestBytes> links, size_t wanted);
+
 }  // namespace burlfall
 
 #endif  // BURLFALL_LINKS_LINK_SHEDDING_H_
--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -34,6 +34,8 @@
 constexpr Micros kHandoverPollInterval = 10 * kMs;
 constexpr Micros kSendUseInterval = 100 * kMs;  // sends descriptors and memory in use to the successor
 
+constexpr size_t kMegabyte = 1024 * 1024;
+
 // Ids kept of requests that must not run again, in proportion to the memory; each takes some 60 bytes.
 constexpr size_t kRequestIdsPerMegabyte = 256, kMaxRequestIds = 16384;
 
@@ -90,6 +92,7 @@
       figures_(properties.figures.on ? std::make_unique<Figures>(machine, properties.figures,
                                                                  config_.settings, log.sink(), counters_)
                                      : nullptr),
+      memory_(static_cast<size_t>(config_.memory_mb) * kMegabyte),
       start_(start.value_or(StartSettings())),
       hosts_(config_.settings),
       upstream_(machine, config_.settings, hosts_, budget_, counters_, config_.in_service),
@@ -100,8 +103,8 @@
       dispatcher_(
           machine.scheduler(), config_.settings, config_.seed, upstream_, [this] { discovery_.Follow(); },
           counters_),
-      front_({machine, config_, dispatcher_, budget_, tokens_, rate_limiter_, figures_.get(), counters_,
-              CreateReadinessGate()}),
+      front_({machine, config_, dispatcher_, budget_, memory_, tokens_, rate_limiter_, figures_.get(),
+              counters_, CreateReadinessGate()}),
       council_settings_(council),
       cluster_(cluster),
       phase_event_(machine.scheduler()),
--- a/src/serve/program.h
+++ b/src/serve/program.h
@@ -151,6 +151,7 @@
   Tokens tokens_;
   RateLimiter rate_limiter_;
   LinkBudget budget_;
+  MemoryBudgets memory_;
   const StartSettings start_;
   std::optional<start::CallPacer> list_pacing_;
   std::optional<start::SavedListSchedule> list_saver_;
--- a/src/world/virtual_machine.cpp
+++ b/src/world/virtual_machine.cpp
@@ -82,11 +82,12 @@
 
   State Opened() override { return connection_->state; }
 
-  Io Read(std::string& into) override {
+  using Stream::Read;
+  Io Read(std::string& into, size_t max_bytes) override {
     if (own().closed || connection_->state == State::kFailed) return Io::kBroken;
     std::string& received = own().received;
     if (!received.empty()) {
-      const size_t n = std::min(received.size(), kReadBytes);
+      const size_t n = std::min({received.size(), kReadBytes, max_bytes});
       into.append(received, 0, n);
       received.erase(0, n);
       if (std::exchange(other().blocked, false)) connection_->NotifySide(1 - side_);
--- a/tests/attempts/attempts_test.cpp
+++ b/tests/attempts/attempts_test.cpp
@@ -291,7 +291,7 @@
  public:
   EndlessStream(Scheduler& scheduler, std::string piece) : Stream(scheduler), piece_(std::move(piece)) {}
   State Opened() override { return State::kUp; }
-  Io Read(std::string& into) override {
+  Io Read(std::string& into, size_t) override {
     into += first_.empty() ? piece_ : first_;
     first_.clear();
     return Io::kSome;
--- a/tests/service/byte_budget_test.cpp
+++ b/tests/service/byte_budget_test.cpp
@@ -31,5 +31,26 @@
   EXPECT_EQ(budget.available(), 800u);
 }
 
+TEST(ByteBudget, SmallMessagesCostNothingAndAReservationCanBeHandedOver) {
+  ByteBudget budget(8000, 8000);
+  ByteBudget::Share request(budget);
+  EXPECT_TRUE(request.Resize(ByteBudget::kFreeBytes));
+  EXPECT_EQ(budget.used(), 0u);
+  EXPECT_TRUE(request.Resize(ByteBudget::kFreeBytes + 5000));
+  EXPECT_FALSE(request.Resize(ByteBudget::kFreeBytes + 8001));
+  EXPECT_EQ(request.held(), 5000u);
+  {
+    const ByteBudget::Share payload = request.Take(4000);
+    EXPECT_EQ(payload.held(), 4000u);
+    EXPECT_EQ(budget.used(), 5000u);
+  }
+  EXPECT_EQ(budget.used(), 1000u);
+  budget.SetTotal(500);  // less than is held: nothing more fits, and what is held may shrink
+  EXPECT_EQ(budget.available(), 0u);
+  EXPECT_FALSE(request.Resize(ByteBudget::kFreeBytes + 1001));
+  EXPECT_TRUE(request.Resize(0));
+  EXPECT_EQ(budget.available(), 500u);
+}
+
 }  // namespace
 }  // namespace burlfall
--- a/tests/service/room_test.cpp
+++ b/tests/service/room_test.cpp
@@ -28,5 +28,16 @@
   EXPECT_TRUE(ChooseLinksToClose(links, 99).empty());
 }
 
+TEST(WhoFreesMemory, TheLongestStalledFirstAndNoMoreThanNeeded) {
+  const std::vector<HeldRequestBytes> links = {{5000, 300 * kMilli},
+                                               {9000, 249 * kMilli},  // still makes progress
+                                               {3000, 900 * kMilli},
+                                               {0, 2000 * kMilli},
+                                               {4000, 500 * kMilli}};
+  EXPECT_EQ(ChooseLinksToFree(links, 3000), (std::vector<size_t>{2}));
+  EXPECT_EQ(ChooseLinksToFree(links, 3001), (std::vector<size_t>{2, 4}));
+  EXPECT_EQ(ChooseLinksToFree(links, 99999), (std::vector<size_t>{2, 4, 0}));
+}
+
 }  // namespace
 }  // namespace burlfall
