Answers: held within a budget of their own, and passed on as they come where it has no room

Cause: each answer of up to 64 KiB was held whole by its attempt, copied to the link and kept until its client had read it; a request's body was copied into its attempt. The system buffered megabytes more for each connection whose client does not read (TCP_NOTSENT_LOWAT was not set). An answer without a length was streamed 100 ms after its first bytes, and given up where the deadline came before that.

At most 32 KiB lie unsent in the system. An answer without a length that has begun is passed on at the deadline. A client that takes an answer slowly is waited for as long as it takes something within 10 s, also for the first 64 KiB. RunAttempt() is four steps of their own.

--- a/src/codec/http.cpp
+++ b/src/codec/http.cpp
@@ -59,10 +59,15 @@
   out.append(name).append(": ").append(value).append("\r\n");
 }
 
+void AppendChunkSize(std::string& out, size_t size) {
+  std::array<char, 16> digits;
+  out.append(digits.data(), std::to_chars(digits.data(), digits.data() + digits.size(), size, 16).ptr);
+  out.append("\r\n");
+}
+
 void AppendChunk(std::string& out, std::string_view bytes) {
-  std::array<char, 16> size;
-  out.append(size.data(), std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16).ptr);
-  out.append("\r\n").append(bytes).append("\r\n");
+  AppendChunkSize(out, bytes.size());
+  out.append(bytes).append(kChunkEnd);
 }
 
 void AppendEndToEnd(std::string& out, const HttpMessage& message, std::string_view except) {
--- a/src/codec/http.h
+++ b/src/codec/http.h
@@ -115,6 +115,9 @@
 bool EqualsIgnoreCase(std::string_view a, std::string_view b);  // ASCII only
 void AppendHeader(std::string& out, std::string_view name, std::string_view value);
 void AppendChunk(std::string& out, std::string_view bytes);  // empty `bytes`: the last chunk
+// The parts of a chunk before and behind its bytes, for a writer that does not copy these.
+void AppendChunkSize(std::string& out, size_t size);
+constexpr std::string_view kChunkEnd = "\r\n";
 // Appends the message's end-to-end headers: not those of the framing or of one connection, nor `except`.
 void AppendEndToEnd(std::string& out, const HttpMessage& message, std::string_view except = {});
 std::string_view ReasonPhrase(int status);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -76,7 +76,7 @@
   Count(result.answer.outcome);
   if (result.answer.outcome == Outcome::kOk && !query.closed) {
     ++counters_.served;
-    Close(result.id, query, Figure::kServed)->Serve(*result.answer.payload);
+    Close(result.id, query, Figure::kServed)->Serve(std::move(result.answer.payload));
   }
   if (query.closed) ended_queries_.push_back(result.id);
   meadowslip::AttemptResult report;
--- a/src/dispatch/query.h
+++ b/src/dispatch/query.h
@@ -17,7 +17,7 @@
 // left first. The calls must not call back into the dispatcher.
 class ResponseSink {
  public:
-  virtual void Serve(const Payload& answer) = 0;
+  virtual void Serve(std::unique_ptr<Payload> answer) = 0;
   virtual void Throttle(Micros retry_after) = 0;  // 0: the client may retry at any time
   virtual void Fail() = 0;
   // Whether the client has left, as far as can be seen, even if Dispatcher::ClientLeft() has not been called
--- a/src/front/client_link.cpp
+++ b/src/front/client_link.cpp
@@ -29,6 +29,7 @@
 constexpr size_t kMaxDropped = kMaxStreamedBody;  // bytes read after the last answer: a large query's body
 constexpr Micros kMaxSizeHint = 3600 * kSecond;
 constexpr size_t kMaxBytesPerTurn = 64 * 1024;  // read or written before other links get their turn
+constexpr size_t kMaxJoinedBody = 2048;         // of an answer: a larger body is not copied to its head
 constexpr size_t kHeadReadBytes = 4096;         // in one read: most requests are smaller
 constexpr size_t kMaxReadAhead = kMaxHead + kMaxHeldBody;
 constexpr size_t kAheadReadBytes = 16 * 1024;
@@ -464,16 +465,8 @@
       AppendChunk(out, piece);  // the last chunk is empty
       piece.swap(out);
     }
-    std::string_view rest = piece;
-    while (!rest.empty()) {
-      const size_t before = rest.size();
-      const Io io = stream_->Write(rest);
-      if (io == Io::kBroken) co_return false;
-      if (rest.size() < before) until = stream_->scheduler().Now() + kWriteTimeout;
-      if (rest.empty()) break;
-      bool notified = co_await stream_->Wait(until);
-      if (!notified && stream_->scheduler().Now() >= until) co_return false;
-    }
+    bool written = co_await WriteProgressing(piece);
+    if (!written) co_return false;
     until = stream_->scheduler().Now() + kWriteTimeout;
     if (next == Next::kDone) co_return true;
     written_this_turn += piece.size();
@@ -580,19 +573,21 @@
   return in_.capacity() - in_.size();
 }
 
-void ClientLink::Serve(const Payload& payload) {
-  const auto& answer = static_cast<const HttpPayload&>(payload);
+void ClientLink::Serve(std::unique_ptr<Payload> payload) {
+  answer_.reset(static_cast<HttpPayload*>(payload.release()));
   std::string headers;
-  AppendEndToEnd(headers, answer);
-  body_rest_ = answer.body_rest;
+  AppendEndToEnd(headers, *answer_);
+  body_rest_ = answer_->body_rest;
   if (head_only_) {
     // The length that the body would have.
-    const std::string* length = answer.Find("Content-Length");
+    const std::string* length = answer_->Find("Content-Length");
     PrepareAnswer(200, length ? headers.append("Content-Length: ").append(*length).append("\r\n") : headers,
                   "");
-  } else {
-    PrepareAnswer(200, headers, answer.body, body_rest_.get());
+    answer_.reset();
+    return;
   }
+  PrepareAnswer(200, headers, answer_->body, body_rest_.get());
+  if (answer_->body.size() <= kMaxJoinedBody) answer_.reset();
 }
 
 void ClientLink::Throttle(Micros retry_after) {
@@ -627,28 +622,48 @@
   if (close_after_answer_) AppendHeader(out_, "Connection", "close");
   if (http_1_0_client_ && !close_after_answer_) AppendHeader(out_, "Connection", "keep-alive");
   out_.append("\r\n");
-  if (chunked_) {
-    if (!body.empty()) AppendChunk(out_, body);
-  } else if (!head_only_) {
+  const bool joined = body.size() <= kMaxJoinedBody;
+  if (chunked_ && !body.empty()) {
+    AppendChunkSize(out_, body.size());
+    if (joined) out_.append(body).append(kChunkEnd);
+  } else if (joined && !head_only_) {
     out_.append(body);
   }
   answered_ = true;
   stream_->Notify();
 }
 
+// Writes the answer as far as it has been received: what is in `out_`, and a body that is not copied there.
 Task<bool> ClientLink::WriteAnswer() {
-  // Usually written at once; a coroutine is needed only if the socket is full.
-  std::string_view rest = out_;
+  std::string_view rest = out_;  // usually written at once; a coroutine is needed only if the socket is full
   bool written = stream_->Write(rest) == Io::kSome;
-  if (!rest.empty()) {
-    written = co_await WriteAll(*stream_, rest, stream_->scheduler().Now() + kWriteTimeout);
+  if (!rest.empty()) written = co_await WriteProgressing(rest);
+  if (written && answer_) {
+    written = co_await WriteProgressing(answer_->body);
+    if (written && chunked_) written = co_await WriteProgressing(kChunkEnd);
   }
+  answer_.reset();
   if (!written) co_return false;
   out_.clear();
   final_answer_sent_ = close_after_answer_;
   co_return true;
 }
 
+// Writes all bytes, however slowly the client takes them. Returns false if the link broke, or if the client
+// took none for kWriteTimeout.
+Task<bool> ClientLink::WriteProgressing(std::string_view bytes) {
+  Micros until = stream_->scheduler().Now() + kWriteTimeout;
+  while (!bytes.empty()) {
+    const size_t before = bytes.size();
+    if (stream_->Write(bytes) == Io::kBroken) co_return false;
+    if (bytes.size() < before) until = stream_->scheduler().Now() + kWriteTimeout;
+    if (bytes.empty()) break;
+    bool notified = co_await stream_->Wait(until);
+    if (!notified && stream_->scheduler().Now() >= until) co_return false;
+  }
+  co_return true;
+}
+
 // Ends the sending side and waits for the client to close. Closing a link with unread bytes, or receiving
 // some after the close, would reset it and destroy answers that the client has not read yet. A query among
 // the bytes is dropped and never forwarded: its client sends it again.
--- a/src/front/client_link.h
+++ b/src/front/client_link.h
@@ -5,6 +5,7 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "codec/http.h"
 #include "dispatch/query.h"
@@ -32,7 +33,7 @@
   void Start();
 
   // The final answer to the open query.
-  void Serve(const Payload& answer) override;
+  void Serve(std::unique_ptr<Payload> answer) override;
   void Throttle(Micros retry_after) override;
   void Fail() override;
   // An end of the client behind input that has not been read can't be seen.
@@ -69,6 +70,7 @@
   Task<bool> AwaitUpload(meadowslip::RequestId id);
   int ReadBody();
   Task<bool> WriteAnswer();
+  Task<bool> WriteProgressing(std::string_view bytes);
   Task<bool> WriteRest();
   bool RefusedAtAdmission(const HttpMessage& message, int request_class);
   Task<> Linger();
@@ -98,9 +100,11 @@
   ByteBudget::Share share_;  // of the input, and of the buffers of an upload
   std::string in_;
   std::string out_;
-  std::shared_ptr<Upload> upload_;         // of the open query, if it is large
-  size_t upload_window_ = 0;               // bytes of it that are read ahead of its server
-  Micros answer_timeout_ = 0;              // of its client, from its last byte on
+  std::shared_ptr<Upload> upload_;  // of the open query, if it is large
+  size_t upload_window_ = 0;        // bytes of it that are read ahead of its server
+  Micros answer_timeout_ = 0;       // of its client, from its last byte on
+  std::unique_ptr<HttpPayload>
+      answer_;  // while its body is written; one that is copied to `out_` is not kept
   std::shared_ptr<BodySource> body_rest_;  // the rest of the answer's body
   bool chunked_ = false;                   // that rest is sent with chunked encoding
   bool http_1_0_client_ = false;           // an HTTP/1.0 client can't read chunked encoding
--- a/src/io/real_network.cpp
+++ b/src/io/real_network.cpp
@@ -106,9 +106,14 @@
   return scheduler.TryWatch(stream->fd(), *stream) ? std::move(stream) : nullptr;
 }
 
-void SetNoDelay(int fd) {
-  int on = 1;
+// Bytes that the system may hold unsent for one connection. Without a limit it buffers megabytes for a peer
+// that does not read, which count as this process's memory.
+constexpr int kMaxUnsentBytes = 32 * 1024;
+
+void SetStreamOptions(int fd) {
+  const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &kMaxUnsentBytes, sizeof kMaxUnsentBytes);
 }
 
 class RealListener final : public Listener {
@@ -136,7 +141,7 @@
       if (!fd && (errno == EINTR || errno == ECONNABORTED || errno == EPROTO))
         continue;  // the peer has gone already
       if (!fd) return Accepted::kNoResources;
-      SetNoDelay(fd.get());
+      SetStreamOptions(fd.get());
       into = MakeWatchedStream(static_cast<RealScheduler&>(scheduler()), std::move(fd));
       return into ? Accepted::kOne : Accepted::kNoResources;
     }
@@ -250,7 +255,7 @@
   std::unique_ptr<Stream> ConnectFrom(const Address* from, const Address& to, NoConnection& why) override {
     Descriptor fd(socket(to.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     if (fd) {
-      SetNoDelay(fd.get());
+      SetStreamOptions(fd.get());
       if (BindToHost(fd.get(), from) &&
           (connect(fd.get(), to.get(), to.length) == 0 || errno == EINPROGRESS)) {
         why = NoConnection::kNoResources;
--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -95,7 +95,7 @@
       memory_(static_cast<size_t>(config_.memory_mb) * kMegabyte),
       start_(start.value_or(StartSettings())),
       hosts_(config_.settings),
-      upstream_(machine, config_.settings, hosts_, budget_, counters_, config_.in_service),
+      upstream_(machine, config_.settings, hosts_, budget_, memory_.answers, counters_, config_.in_service),
       discovery_(
           machine, config_, counters,
           [this](const HostList* list, const std::string& why) { OnListUpdate(list, why); },
--- a/src/upstream/http_upstream.cpp
+++ b/src/upstream/http_upstream.cpp
@@ -26,16 +26,29 @@
 // A server that does not accept the next piece of a large query within this time is given up.
 constexpr Micros kStreamStallTimeout = 10 * kSecond;
 
+// Bytes of a streamed answer in each of the buffers on its way.
+constexpr size_t kStreamWindow = 16 * 1024, kStreamBuffers = 4;
+constexpr size_t kSmallReadBytes = 4096;
+
 // Reads in a row before other tasks get their turn; more than a well-formed answer that is held needs.
 constexpr int kReadsPerTurn = 16;
 
+// Bodies up to this size are written together with what precedes them; larger ones are written from where
+// they are, to avoid a copy.
+constexpr size_t kMaxJoinedBody = 2048;
+
+bool IsChunked(const HttpPayload& query) { return query.body_rest && !query.body_rest->length; }
+bool IsJoined(const HttpPayload& query) { return query.body.size() <= kMaxJoinedBody; }
+
+// The query's head and, if it is small, the body. Of a larger chunked body it ends with the size of the first
+// chunk.
 std::string FormatQuery(const HttpPayload& query, Micros time_left) {
   std::string out;
-  out.reserve(512 + (query.body.size() <= kMaxHeldBody ? query.body.size() : 0));
+  out.reserve(512 + (IsJoined(query) ? query.body.size() : 0));
   out.append(query.method).append(" ").append(query.target).append(" HTTP/1.1\r\n");
   AppendEndToEnd(out, query, platform::kExpiresIn);
   AppendHeader(out, platform::kExpiresIn, std::to_string(time_left) + "u");
-  const bool chunked = query.body_rest && !query.body_rest->length;
+  const bool chunked = IsChunked(query);
   if (chunked) {
     AppendHeader(out, "Transfer-Encoding", "chunked");
   } else if (!query.body.empty() || query.body_rest || (query.method != "GET" && query.method != "HEAD")) {
@@ -44,8 +57,9 @@
   }
   out.append("\r\n");
   if (chunked && !query.body.empty()) {
-    AppendChunk(out, query.body);
-  } else if (query.body.size() <= kMaxHeldBody) {  // a larger one is written separately, to avoid a copy
+    AppendChunkSize(out, query.body.size());
+    if (IsJoined(query)) out.append(query.body).append(kChunkEnd);
+  } else if (IsJoined(query)) {
     out.append(query.body);
   }
   return out;
@@ -77,8 +91,10 @@
         link_(std::move(link)),
         parser_(std::move(parser)),
         received_(std::move(in)),
-        keep_alive_(keep_alive) {
+        keep_alive_(keep_alive),
+        memory_(upstream.memory_) {
     length = parser_.length();
+    window_ = memory_.Resize(kStreamBuffers * kStreamWindow) ? kStreamWindow : ByteBudget::kFreeBytes;
   }
 
   Next Take(std::string& into) override {
@@ -95,7 +111,7 @@
       } else if (parsed_ != Parsed::kMore) {
         result_ = Next::kBroken;
       } else {
-        const Io io = link_->stream->Read(received_);
+        const Io io = link_->stream->Read(received_, window_);
         if (io == Io::kLater) return Next::kLater;
         parsed_ = io == Io::kSome     ? parser_.Feed(received_)
                   : io == Io::kClosed ? parser_.OnPeerClosed()
@@ -114,16 +130,19 @@
   HttpParser parser_;
   std::string received_;
   const bool keep_alive_;
+  ByteBudget::Share memory_;  // of the buffers between the server and the client
+  size_t window_ = 0;         // bytes read at a time
   Parsed parsed_ = Parsed::kMore;
   std::optional<Next> result_;
 };
 
 HttpUpstream::HttpUpstream(Machine& machine, const meadowslip::Settings& settings, const HostGroup& hosts,
-                           LinkBudget& budget, Counters& counters, bool large)
+                           LinkBudget& budget, ByteBudget& memory, Counters& counters, bool large)
     : scheduler_(machine.scheduler()),
       network_(machine.network()),
       hosts_(hosts),
       budget_(budget),
+      memory_(memory),
       idle_timeout_(static_cast<Micros>(static_cast<double>(settings.keepalive) * kIdleTimeoutShare)),
       connect_timeout_(settings.connect_timeout),
       counters_(counters),
@@ -171,88 +190,131 @@
   }
 }
 
-Task<ServerAnswer> HttpUpstream::RunAttempt(std::shared_ptr<const Host> host_ref, const HttpPayload& query,
+Task<ServerAnswer> HttpUpstream::RunAttempt(std::shared_ptr<const Host> host, const HttpPayload& query,
                                             Micros until, Micros send_by) {
-  const Host& host = *host_ref;
   // The query outlives its attempts.
-  const std::shared_ptr<BodySource> body_rest = query.body_rest;
-  const bool no_body = query.method == "HEAD";
+  AttemptState attempt{std::move(host), query, until, send_by};
   ServerAnswer answer;
-  std::unique_ptr<Link> link = TakeIdleLink(host);
-  const Micros idle_since = link ? link->idle_since : kNever;
-  if (!link) {
-    if (!budget_.EnsureCapacity()) co_return answer;  // moot: the host is not at fault
-    NoConnection why = NoConnection::kRefused;
-    std::unique_ptr<Stream> stream = network_.Connect(host.address, why);
-    // Nor is it if this process has no descriptor or port left: that must not put a healthy host to sleep.
-    if (!stream && why == NoConnection::kNoResources) co_return answer;
-    answer.outcome = Outcome::kConnectFailed;
-    if (!stream) co_return answer;
-    ++counters_.server_links;
-    link = std::make_unique<Link>(*this, std::move(stream), host.incarnation);
-    Micros connect_by = scheduler_.Now() + connect_timeout_;
-    bool connected = co_await Connected(*link->stream, std::min(send_by, connect_by));
-    // A query whose time ran out first says nothing about the host. This holds even if the connection came up
-    // in time: this process may have been paused since.
-    if (scheduler_.Now() >= send_by && (connected || send_by < connect_by)) answer.outcome = Outcome::kMoot;
-    // The same holds if the client has left, or was answered, in the meantime: the query is not sent any
-    // more, even where attempts may not be cancelled.
-    if (query.closed) answer.outcome = Outcome::kMoot;
-    if (!connected || answer.outcome == Outcome::kMoot) co_return answer;
-    // The host may have been withdrawn while the connection came up, and the drain rule then forbids the
-    // query. If the host has been restarted or has moved since, this link leads to its earlier incarnation,
-    // which says nothing about the current one.
-    if (link->host_generation != host.incarnation) answer.outcome = Outcome::kMoot;
-    if (link->host_generation != host.incarnation || host.state != BackendState::kReady) co_return answer;
+  answer.outcome = co_await OpenLink(attempt);
+  if (!attempt.ready_to_send) co_return answer;
+  answer.outcome = co_await SendQuery(attempt);
+  if (!attempt.sent_at) co_return answer;
+  co_return co_await ReceiveAnswer(attempt);
+}
+
+// Takes an idle link or opens a new one. The outcome counts if the attempt is not ready to send then.
+Task<Outcome> HttpUpstream::OpenLink(AttemptState& attempt) {
+  const Host& host = *attempt.host;
+  attempt.link = TakeIdleLink(host);
+  attempt.ready_to_send = attempt.link != nullptr;
+  if (attempt.link) {
+    attempt.idle_since = attempt.link->idle_since;
+    co_return Outcome::kMoot;
   }
-  // Formatted only now, so that the remaining time sent to the server excludes the wait for the connection.
-  const std::string bytes = FormatQuery(query, std::max<Micros>(0, until - scheduler_.Now()));
-  answer.outcome = Outcome::kConnectFailed;  // until the last byte is written it can't have run
-  std::string_view rest = bytes;  // usually written at once; a coroutine is needed only if the socket is full
-  bool sent = link->stream->Write(rest) == Io::kSome;
-  if (!rest.empty()) sent = co_await WriteByDeadline(*link->stream, query, rest, send_by);
-  if (sent && query.body.size() > kMaxHeldBody && (!body_rest || body_rest->length)) {
+  if (!budget_.EnsureCapacity()) co_return Outcome::kMoot;  // the host is not at fault
+  NoConnection why = NoConnection::kRefused;
+  std::unique_ptr<Stream> stream = network_.Connect(host.address, why);
+  // Nor is it if this process has no descriptor or port left: that must not put a healthy host to sleep.
+  if (!stream) co_return why == NoConnection::kNoResources ? Outcome::kMoot : Outcome::kConnectFailed;
+  ++counters_.server_links;
+  attempt.link = std::make_unique<Link>(*this, std::move(stream), host.incarnation);
+  const Micros connect_by = scheduler_.Now() + connect_timeout_;
+  const bool connected = co_await Connected(*attempt.link->stream, std::min(attempt.send_by, connect_by));
+  // A query whose time ran out first says nothing about the host. This holds even if the connection came up
+  // in time: this process may have been paused since.
+  const bool time_over = scheduler_.Now() >= attempt.send_by && (connected || attempt.send_by < connect_by);
+  // The same holds if the client has left, or was answered, in the meantime: the query is not sent any
+  // more, even where attempts may not be cancelled.
+  if (time_over || attempt.query.closed) co_return Outcome::kMoot;
+  if (!connected) co_return Outcome::kConnectFailed;
+  // If the host has been restarted or has moved while the connection came up, this link leads to its earlier
+  // incarnation, which says nothing about the current one.
+  if (attempt.link->host_generation != host.incarnation) co_return Outcome::kMoot;
+  // It may also have been withdrawn, and the drain rule then forbids the query.
+  attempt.ready_to_send = host.state == BackendState::kReady;
+  co_return Outcome::kConnectFailed;
+}
+
+// Writes the query. Until its last byte is written it can't have run; the outcome counts if it was not.
+Task<Outcome> HttpUpstream::SendQuery(AttemptState& attempt) {
+  const HttpPayload& query = attempt.query;
+  Stream& to = *attempt.link->stream;
+  const std::shared_ptr<BodySource> body_rest = query.body_rest;
+  bool sent = false;
+  {
+    // Formatted only now, so that the remaining time sent to the server excludes the wait for the connection.
+    const std::string bytes = FormatQuery(query, std::max<Micros>(0, attempt.until - scheduler_.Now()));
+    // Usually written at once; a coroutine is needed only if the socket is full.
+    std::string_view rest = bytes;
+    sent = to.Write(rest) == Io::kSome;
+    if (!rest.empty()) sent = co_await WriteByDeadline(to, query, rest, attempt.send_by);
+  }
+  if (sent && !IsJoined(query)) {
     // The client's timeout starts only once its query has arrived completely.
-    const Micros by = body_rest ? scheduler_.Now() + kStreamStallTimeout : send_by;
-    sent = co_await WriteByDeadline(*link->stream, query, query.body, by);
+    const Micros by = body_rest ? scheduler_.Now() + kStreamStallTimeout : attempt.send_by;
+    sent = co_await WriteByDeadline(to, query, query.body, by);
+    if (sent && IsChunked(query)) sent = co_await WriteByDeadline(to, query, kChunkEnd, by);
   }
-  if (!sent && query.closed) answer.outcome = Outcome::kMoot;
-  if (!sent) co_return answer;
+  if (!sent) co_return query.closed ? Outcome::kMoot : Outcome::kConnectFailed;
   if (body_rest) {
     query.consumed = true;
-    const BodySource::Next rest_sent = co_await SendBodyRest(*link->stream, body_rest);
-    if (rest_sent == BodySource::Next::kLater) answer.outcome = Outcome::kMoot;  // the host is not at fault
-    if (rest_sent != BodySource::Next::kDone) co_return answer;
-    until = body_rest->ResponseDeadline();
+    const BodySource::Next rest_sent = co_await SendBodyRest(to, body_rest);
+    if (rest_sent == BodySource::Next::kLater) co_return Outcome::kMoot;  // the host is not at fault
+    if (rest_sent != BodySource::Next::kDone) co_return Outcome::kConnectFailed;
+    attempt.until = body_rest->ResponseDeadline();
   }
+  attempt.sent_at = scheduler_.Now();
+  co_return Outcome::kReset;
+}
+
+// Whether the answer that `parser` reads is to be held whole: if it is of a size that is held, and there is
+// memory for it. Others are passed on as they come.
+bool HttpUpstream::HoldWholeAnswer(HttpParser& parser, ByteBudget::Share& memory) {
+  const size_t limit = parser.length().value_or(kMaxHeldBody);
+  if (limit > kMaxHeldBody || limit <= parser.hold_limit()) return false;
+  if (!memory.Resize(parser.HeldBytes() + Stream::kMaxReadBytes + limit)) return false;
+  parser.body().reserve(limit);
+  parser.SetHoldLimit(limit);
+  return true;
+}
+
+Task<ServerAnswer> HttpUpstream::ReceiveAnswer(AttemptState& attempt) {
+  ServerAnswer answer;
   answer.outcome = Outcome::kReset;  // from here on it may have run
-  const Micros written = scheduler_.Now();
-  const Micros idle = idle_since == kNever ? -1 : written - idle_since;
+  Stream& from = *attempt.link->stream;
+  const Micros written = *attempt.sent_at;
+  const Micros idle = attempt.idle_since == kNever ? -1 : written - attempt.idle_since;
   if (idle >= 0) idle_reuse_stats_.NoteUse(idle, written);
-  HttpParser parser(HttpParser::Kind::kResponse, large_ ? kMaxStreamedBody : kMaxHeldBody);
-  if (no_body) parser.ExpectNoBody();
+  HttpParser parser(HttpParser::Kind::kResponse, large_ ? kMaxStreamedBody : kMaxHeldBody,
+                    ByteBudget::kFreeBytes);
+  if (attempt.query.method == "HEAD") parser.ExpectNoBody();
+  ByteBudget::Share memory(memory_);
   std::string in;
   Parsed parsed = Parsed::kMore;
   Micros stream_from = kNever;
   int reads = 0;
   while (parsed == Parsed::kMore) {
-    Io io = link->stream->Read(in);
+    // Pieces are small until it is known that there is memory for the answer.
+    const bool small = parser.hold_limit() <= ByteBudget::kFreeBytes;
+    Io io = from.Read(in, small ? kSmallReadBytes : Stream::kMaxReadBytes);
     if (io == Io::kSome) {
       parsed = parser.Feed(in);
+      while (parsed == Parsed::kHeadComplete && HoldWholeAnswer(parser, memory)) parsed = parser.Feed(in);
+      if (in.empty()) std::string().swap(in);
       if (parsed != Parsed::kMore || ++reads % kReadsPerTurn != 0) continue;
       // A server that sends without pause must not starve other tasks, nor outlast its deadline.
-      if (scheduler_.Now() >= until) {
+      if (scheduler_.Now() >= attempt.until) {
         answer.outcome = Outcome::kTimeout;
         co_return answer;
       }
-      co_await link->stream->Wait(scheduler_.Now());
+      co_await from.Wait(scheduler_.Now());
     } else if (io == Io::kLater) {
-      if (large_ && stream_from == kNever && parser.HasBodyBytes() && !parser.length()) {
-        stream_from = scheduler_.Now() + kStreamingDelay;
-      }
-      bool notified = co_await link->stream->Wait(std::min(until, stream_from));
+      const bool may_stream = large_ && parser.HasBodyBytes() && !parser.length();
+      if (stream_from == kNever && may_stream) stream_from = scheduler_.Now() + kStreamingDelay;
+      bool notified = co_await from.Wait(std::min(attempt.until, stream_from));
       if (notified) continue;
-      if (stream_from < until) {
+      // An answer without a length that has begun may be a long one, of which only the first bytes are due.
+      if (may_stream) {
         parsed = Parsed::kHeadComplete;
         break;
       }
@@ -270,28 +332,39 @@
     auto head = std::make_unique<HttpPayload>(parser.TakeHead());
     answer.outcome = ToOutcome(*head);
     if (answer.outcome != Outcome::kOk) co_return answer;
-    head->body_rest = std::make_shared<Download>(*this, host_ref, std::move(link), std::move(parser),
-                                                 std::move(in), head->keep_alive);
+    head->memory = std::make_shared<ByteBudget::Share>(memory.Take(head->HeldBytes()));
+    head->body_rest = std::make_shared<Download>(*this, attempt.host, std::move(attempt.link),
+                                                 std::move(parser), std::move(in), head->keep_alive);
     answer.payload = std::move(head);
     co_return answer;
   }
-  if (parsed != Parsed::kDone) co_return answer;
+  if (parsed == Parsed::kDone) FinishAnswer(attempt, parser, !in.empty(), std::move(memory), answer);
+  co_return answer;
+}
+
+// The answer has arrived whole.
+void HttpUpstream::FinishAnswer(AttemptState& attempt, HttpParser& parser, bool has_more_input,
+                                ByteBudget::Share memory, ServerAnswer& answer) {
+  const Host& host = *attempt.host;
+  Link& link = *attempt.link;
   const bool has_length = parser.length().has_value();
   auto message = std::make_unique<HttpPayload>(parser.Take());
   const AnswerDigest digest = DigestOf(*message);
-  if (link->answers.Contains(digest)) {  // a second copy of an earlier answer; the link is closed
+  if (link.answers.Contains(digest)) {  // a second copy of an earlier answer; the link is closed
     ++counters_.unasked;
     server_answers_[host.id].NoteUnsolicited(scheduler_.Now());
-    co_return answer;
+    return;
   }
   server_answers_[host.id].Note(digest, scheduler_.Now());
   // In service a copy without a length may be passed on before it is complete, and so not be recognized.
-  link->answers.Note(has_length || !large_ ? digest : std::nullopt, scheduler_.Now());
+  link.answers.Note(has_length || !large_ ? digest : std::nullopt, scheduler_.Now());
   answer.outcome = ToOutcome(*message);
-  if (!in.empty()) ++counters_.unasked;
-  if (message->keep_alive && in.empty()) ReturnToPool(host, std::move(link));
-  if (answer.outcome == Outcome::kOk) answer.payload = std::move(message);
-  co_return answer;
+  if (has_more_input) ++counters_.unasked;
+  if (message->keep_alive && !has_more_input) ReturnToPool(host, std::move(attempt.link));
+  if (answer.outcome != Outcome::kOk) return;
+  memory.Resize(message->HeldBytes());
+  if (memory.held() > 0) message->memory = std::make_shared<ByteBudget::Share>(std::move(memory));
+  answer.payload = std::move(message);
 }
 
 // Returns the most recently used link that can carry a query. Links that are not quiet yet are looked at
--- a/src/upstream/http_upstream.h
+++ b/src/upstream/http_upstream.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -13,6 +14,7 @@
 #include "io/body_source.h"
 #include "io/machine.h"
 #include "links/budget.h"
+#include "links/byte_budget.h"
 #include "meadowslip/balancer.h"
 #include "membership/host_group.h"
 #include "observe/counters.h"
@@ -24,9 +26,10 @@
 
 class HttpUpstream final : public Upstream, public LinkHolder {
  public:
-  // `large`: messages with bodies above kMaxHeldBody are streamed; otherwise they are refused.
+  // `memory`: for answers, as they are held. `large`: messages with bodies above kMaxHeldBody are streamed;
+  // otherwise they are refused.
   HttpUpstream(Machine& machine, const meadowslip::Settings& settings, const HostGroup& hosts,
-               LinkBudget& budget, Counters& counters, bool large);
+               LinkBudget& budget, ByteBudget& memory, Counters& counters, bool large);
 
   bool Knows(meadowslip::BackendId id) const override { return hosts_.Find(id) != nullptr; }
   Task<ServerAnswer> Exchange(meadowslip::BackendId to, const Payload& query, Micros until,
@@ -53,9 +56,26 @@
   };
   using IdleLinks = std::vector<std::unique_ptr<Link>>;
   class Download;
+  // An attempt on its way.
+  struct AttemptState {
+    std::shared_ptr<const Host> host;  // may leave the group meanwhile
+    const HttpPayload& query;
+    Micros until;  // when the answer is due
+    Micros send_by;
+    std::unique_ptr<Link> link = nullptr;
+    Micros idle_since = kNever;  // of the link before; kNever: it is new
+    bool ready_to_send = false;
+    std::optional<Micros> sent_at = {};  // when the last byte of the query was written
+  };
 
-  Task<ServerAnswer> RunAttempt(std::shared_ptr<const Host> host_ref, const HttpPayload& query, Micros until,
+  Task<ServerAnswer> RunAttempt(std::shared_ptr<const Host> host, const HttpPayload& query, Micros until,
                                 Micros send_by);
+  Task<meadowslip::Outcome> OpenLink(AttemptState& attempt);
+  Task<meadowslip::Outcome> SendQuery(AttemptState& attempt);
+  Task<ServerAnswer> ReceiveAnswer(AttemptState& attempt);
+  static bool HoldWholeAnswer(HttpParser& parser, ByteBudget::Share& memory);
+  void FinishAnswer(AttemptState& attempt, HttpParser& parser, bool has_more_input, ByteBudget::Share memory,
+                    ServerAnswer& answer);
   Task<bool> WriteByDeadline(Stream& to, const Payload& query, std::string_view bytes, Micros until);
   Task<BodySource::Next> SendBodyRest(Stream& to, std::shared_ptr<BodySource> body_rest);
   std::unique_ptr<Link> TakeIdleLink(const Host& host);
@@ -66,6 +86,7 @@
   Network& network_;
   const HostGroup& hosts_;
   LinkBudget& budget_;
+  ByteBudget& memory_;
   Micros idle_timeout_;
   Micros connect_timeout_;
   IdleReuseStats idle_reuse_stats_;
--- a/tests/attempts/attempts_test.cpp
+++ b/tests/attempts/attempts_test.cpp
@@ -45,7 +45,7 @@
   Micros Now() const { return world.scheduler.Now(); }
   HttpUpstream& GetUpstream() {
     if (!upstream)
-      upstream = std::make_unique<HttpUpstream>(balancer, settings, hosts, budget, counters, large);
+      upstream = std::make_unique<HttpUpstream>(balancer, settings, hosts, budget, memory, counters, large);
     return *upstream;
   }
 
@@ -125,6 +125,7 @@
   meadowslip::Settings settings;
   HostGroup hosts{settings};
   LinkBudget budget;
+  ByteBudget memory{8 * 1024 * 1024};
   Counters counters;
   bool large = false;
   std::unique_ptr<HttpUpstream> upstream;
@@ -208,7 +209,7 @@
 }
 
 struct FakeSink final : ResponseSink {
-  void Serve(const Payload&) override { ++answers; }
+  void Serve(std::unique_ptr<Payload>) override { ++answers; }
   void Throttle(Micros) override { ++answers; }
   void Fail() override { ++answers; }
   bool MayHaveLeft() const override { return gone; }
@@ -356,7 +357,7 @@
 // Chunks of one byte, each with a long extension: 256 MB until the body exceeds the hold limit.
 TEST_F(Attempts, EndlessAnswerStarvesNobodyAndEndsAtItsDeadline) {
   EndlessMachine machine(balancer, "1;" + std::string(4000, 'x') + "\r\na\r\n");
-  upstream = std::make_unique<HttpUpstream>(machine, settings, hosts, budget, counters, false);
+  upstream = std::make_unique<HttpUpstream>(machine, settings, hosts, budget, memory, counters, false);
   RunScenario([&]() -> Task<> {
     const Micros began = Now();
     const auto sent = Send(500);
--- a/tests/histories/stall_test.cpp
+++ b/tests/histories/stall_test.cpp
@@ -25,7 +25,7 @@
 };
 
 struct CountingSink final : ResponseSink {
-  void Serve(const Payload&) override { ++answers; }
+  void Serve(std::unique_ptr<Payload>) override { ++answers; }
   void Throttle(Micros) override { ++answers; }
   void Fail() override { ++answers; }
   bool MayHaveLeft() const override { return false; }
--- a/tests/misbehaviour/memory_test.cpp
+++ b/tests/misbehaviour/memory_test.cpp
@@ -13,7 +13,8 @@
 // Lets the crowd write for `span` while a bystander asks; reports the peak, and checks it and the bystander.
 void CheckCrowd(const std::string& kind, const NodeScript& script, int sockets, size_t count,
                 const std::function<std::string(size_t)>& text_of, size_t write_piece = 1 << 20,
-                size_t read_piece = 0, milliseconds span = milliseconds(3000)) {
+                size_t read_piece = 0, milliseconds span = milliseconds(3000),
+                milliseconds pause = milliseconds(10)) {
   ScriptedNode node(script);
   Program program(LeastMemoryConfig(node, sockets), InService());
   const size_t before = ResidentKb(program);
@@ -23,7 +24,7 @@
     crowd.WriteMore(write_piece);
     if (read_piece > 0) crowd.ReadMore(read_piece);
     bystander.Ask(program.port, milliseconds(500));
-    poll(nullptr, 0, 10);
+    poll(nullptr, 0, static_cast<int>(pause.count()));
   }
   const size_t peak = PeakKb(program);
   WARN(kind << ": " << count << " clients, " << kLeastMemoryMb << " MB, " << sockets << " descriptors: peak "
@@ -67,6 +68,19 @@
   }
 }
 
+TEST_CASE("clients that ask again and again and read nothing don't take the process over its memory limit") {
+  // One query each at a time, so that all are served: the answers wait for their readers.
+  const size_t query_size = Get(TraceOf(100) + "-10").size();
+  CheckCrowd(
+      "answers nobody reads", {.body = std::string(64000, 'a')}, 1024, 500,
+      [](size_t i) {
+        std::string queries;
+        for (size_t n = 10; n < 80; ++n) queries += Get(Numbered(TraceOf(i) + "-", n));
+        return queries;
+      },
+      query_size, 0, milliseconds(5000), milliseconds(100));
+}
+
 TEST_CASE("long answers that are read slowly don't take the process over its memory limit") {
   CheckCrowd(
       "slowly read answers", {.body = std::string(4000000, 'a')}, 1024, CrowdSize(1024),
