Large requests: the final answer comes by the client's time, however slowly a node reads

Cause: each write of a body had ten seconds of its own, whatever the client's deadline. And the client's clock began when the balancer had read the last byte, which comes long after the client wrote it where a slow node holds the reading up: up to some megabytes wait in the buffers of both systems meanwhile.

Change: what is left of a body that has arrived whole is written by the client's deadline, or not at all; a query that needs no answer is not written on. The link itself answers a large query 50 ms after its time if neither attempt nor module has. While a node takes a body more slowly than it comes, and at most 4 MiB (what a client's system may hold) are missing, the client's clock counts as running. Client sockets hold at most 128 KiB unread. Counted as expired.

--- a/src/codec/http.h
+++ b/src/codec/http.h
@@ -77,6 +77,8 @@
   bool HasBodyBytes() const { return state_ != State::kHead && !message_.body.empty(); }
   std::string& body() { return message_.body; }  // received so far; after TakeHead() the caller may empty it
   std::optional<size_t> length() const { return length_; }
+  // Bytes of the body, or of the current chunk, that are still to come.
+  size_t remaining() const { return remaining_; }
   void SetHoldLimit(size_t bytes) { hold_limit_ = bytes; }  // for the current message
   size_t hold_limit() const { return hold_limit_; }
   size_t HeldBytes() const;                                    // memory that the current message takes
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -120,12 +120,7 @@
   }
   std::sort(open.begin(), open.end());
   for (RequestId id : open) {
-    Query& query = queries_.at(id);
-    const bool never_ran = std::all_of(query.attempts.begin(), query.attempts.end(),
-                                       [](const Attempt& a) { return a.reported && a.never_ran; });
-    ++(never_ran ? counters_.throttled : counters_.failed);
-    ResponseSink* sink = Close(id, query, never_ran ? Figure::kThrottled : Figure::kFailed);
-    never_ran ? sink->Throttle(DefaultRetryAfter()) : sink->Fail();
+    AnswerUnserved(id, queries_.at(id));
   }
   for (RequestId id : open) {
     const Micros now = scheduler_.Now();
@@ -134,6 +129,14 @@
   }
 }
 
+void Dispatcher::AnswerUnserved(RequestId id, Query& query) {
+  const bool never_ran = std::all_of(query.attempts.begin(), query.attempts.end(),
+                                     [](const Attempt& a) { return a.reported && a.never_ran; });
+  ++(never_ran ? counters_.throttled : counters_.failed);
+  ResponseSink* sink = Close(id, query, never_ran ? Figure::kThrottled : Figure::kFailed);
+  never_ran ? sink->Throttle(DefaultRetryAfter()) : sink->Fail();
+}
+
 // Queries are not erased where they end, because the code that ended them may still hold a reference.
 void Dispatcher::EraseEnded() {
   for (RequestId id : ended_queries_) {
@@ -296,6 +299,16 @@
   balancer_.OnClientLeft(now, id, *this);
 }
 
+void Dispatcher::Expire(RequestId id) {
+  Query* query = FindQuery(id);
+  if (query == nullptr || query->closed) return;
+  ++counters_.expired;
+  AnswerUnserved(id, *query);
+  const Micros now = scheduler_.Now();
+  if (capture_) capture_->OnClientLeft(now, id);
+  balancer_.OnClientLeft(now, id, *this);
+}
+
 Dispatcher::Query* Dispatcher::FindQuery(RequestId id) {
   auto it = queries_.find(id);
   return it == queries_.end() ? nullptr : &it->second;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -51,6 +51,8 @@
   // more when the last byte of the body has arrived.
   void OnBodyStreamed(meadowslip::RequestId id);
   void ClientLeft(meadowslip::RequestId id);  // before its answer
+  // The client's time is over: answers the query, if it is still open, and gives it up.
+  void Expire(meadowslip::RequestId id);
   std::string Save() const { return balancer_.Save(); }
   DispatcherState ExportState() const;
   // Continues from another process's state; to be called before Start() and any query. For the module, that
@@ -112,6 +114,7 @@
   void ReportStreamStarted(meadowslip::RequestId id, int attempt);
   void FireTimers();
   void AnswerAllOpen();
+  void AnswerUnserved(meadowslip::RequestId id, Query& query);
   void EraseEnded();
   bool MustNotRunAgain(const Query& query) const;
   Query* FindQuery(meadowslip::RequestId id);
--- a/src/front/client_link.cpp
+++ b/src/front/client_link.cpp
@@ -26,6 +26,9 @@
 // If descriptors run short, or connections wait to be accepted, other clients wait for this link's
 // descriptor; its client closes within a round trip.
 constexpr Micros kLingerTightTimeout = 100 * kMs;
+// Beyond the client's time, for the attempt's or the module's own word to come first.
+constexpr Micros kExpirySlack = 50 * kMs;
+constexpr size_t kMaxClientBuffer = 4 * 1024 * 1024;  // unsent bytes that a client's system may hold for it
 constexpr size_t kMaxDropped = kMaxStreamedBody;  // bytes read after the last answer: a large query's body
 constexpr Micros kMaxSizeHint = 3600 * kSecond;
 constexpr size_t kMaxBytesPerTurn = 64 * 1024;  // read or written before other links get their turn
@@ -275,6 +278,7 @@
   head_only_ = message.method == "HEAD";
   answered_ = false;
   has_unread_input_ = false;
+  answer_by_ = blocked_since_ = kNever;
   const meadowslip::Settings& settings = front_.parts_.config.settings;
   std::string_view path = std::string_view(message.target).substr(0, message.target.find('?'));
   int request_class = ClassOf(front_.classes_, FirstSegment(message.target));
@@ -356,7 +360,8 @@
     }
     // Bytes behind a large body have not been read yet: in that case reads before it waits.
     for (bool wait_first = !upload_; !answered_; wait_first = true) {
-      if (wait_first) co_await stream_->Wait();
+      if (wait_first) co_await stream_->Wait(answer_by_);
+      if (!answered_ && stream_->scheduler().Now() >= answer_by_) front_.parts_.dispatcher.Expire(id);
       if (!answered_ && ReadAhead() == ClientState::kLeft) {
         front_.parts_.dispatcher.ClientLeft(id);
         co_return false;
@@ -402,8 +407,9 @@
       // While the attempt has not taken what was received, the client need not make progress.
       const bool server_waits = upload_->started() && upload_->held() == 0;
       const Micros until = server_waits ? ReadDeadline() : kNever;
-      bool notified = co_await stream_->Wait(until);
-      if (notified || stream_->scheduler().Now() < until) continue;
+      bool notified = co_await stream_->Wait(std::min(until, BlockedDeadline()));
+      if (stream_->scheduler().Now() >= BlockedDeadline()) dispatcher.Expire(id);
+      if (notified || answered_ || stream_->scheduler().Now() < until) continue;
       status = 408;
     }
     dispatcher.ClientLeft(id);
@@ -418,6 +424,13 @@
   co_return true;
 }
 
+// The time at which a client must have its answer whose server does not take the body as fast as it comes:
+// its last bytes may be waiting unread, in the system's buffers on either side, so that its time may be
+// running.
+Micros ClientLink::BlockedDeadline() const {
+  return blocked_since_ == kNever ? kNever : blocked_since_ + answer_timeout_ + kExpirySlack;
+}
+
 // Reads more of the body, as far as the buffer has space. Returns 0 on success, an HTTP status if the body is
 // invalid, and a negative number if the client has closed the link.
 int ClientLink::ReadBody() {
@@ -428,7 +441,9 @@
       upload_->Append(parser_.body());
       if (parsed == Parsed::kDone) {
         parser_.Take();
-        upload_->SetComplete(stream_->scheduler().Now() + answer_timeout_);
+        const Micros due = stream_->scheduler().Now() + answer_timeout_;
+        upload_->SetComplete(due);
+        answer_by_ = std::min(BlockedDeadline(), due + kExpirySlack);
         return 0;
       }
       if (parsed == Parsed::kBad) return 400;
@@ -436,11 +451,14 @@
     }
     if (in_.empty()) FreeMemory(in_);
     const Io io = stream_->Read(in_, upload_window_);
+    if (io == Io::kLater) blocked_since_ = kNever;
     if (io == Io::kLater) return 0;
     if (io != Io::kSome) return -1;
     has_input = true;
     progress_at_ = stream_->scheduler().Now();
   }
+  const bool may_be_complete = parser_.remaining() <= kMaxClientBuffer;
+  if (blocked_since_ == kNever && may_be_complete) blocked_since_ = stream_->scheduler().Now();
   return stream_->PeerEnded() ? -1 : 0;  // the end is behind bytes that the buffer has no space for
 }
 
--- a/src/front/client_link.h
+++ b/src/front/client_link.h
@@ -69,6 +69,7 @@
   Task<bool> HandleQuery();
   Task<bool> AwaitUpload(meadowslip::RequestId id);
   int ReadBody();
+  Micros BlockedDeadline() const;
   Task<bool> WriteAnswer();
   Task<bool> WriteProgressing(std::string_view bytes);
   Task<bool> WriteRest();
@@ -103,6 +104,8 @@
   std::shared_ptr<Upload> upload_;  // of the open query, if it is large
   size_t upload_window_ = 0;        // bytes of it that are read ahead of its server
   Micros answer_timeout_ = 0;       // of its client, from its last byte on
+  Micros blocked_since_ = kNever;   // since when its body arrives faster than its server takes it
+  Micros answer_by_ = kNever;       // of a large query that has arrived whole: answered by then
   std::unique_ptr<HttpPayload>
       answer_;  // while its body is written; one that is copied to `out_` is not kept
   std::shared_ptr<BodySource> body_rest_;  // the rest of the answer's body
--- a/src/io/real_network.cpp
+++ b/src/io/real_network.cpp
@@ -110,6 +110,9 @@
 // that does not read, which count as this process's memory.
 constexpr int kMaxUnsentBytes = 32 * 1024;
 
+// Likewise for bytes of a client that are not read: a client that has to wait is not to believe them taken.
+constexpr int kMaxUnreadBytes = 128 * 1024;
+
 void SetStreamOptions(int fd) {
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -142,6 +145,7 @@
         continue;  // the peer has gone already
       if (!fd) return Accepted::kNoResources;
       SetStreamOptions(fd.get());
+      setsockopt(fd.get(), SOL_SOCKET, SO_RCVBUF, &kMaxUnreadBytes, sizeof kMaxUnreadBytes);
       into = MakeWatchedStream(static_cast<RealScheduler&>(scheduler()), std::move(fd));
       return into ? Accepted::kOne : Accepted::kNoResources;
     }
--- a/src/observe/counters.cpp
+++ b/src/observe/counters.cpp
@@ -31,6 +31,7 @@
   rare("repeated_ids", repeated_ids);
   rare("refused_unread", refused_unread);
   rare("refused_memory", refused_memory);
+  rare("expired", expired);
   rare("denied", denied);
   rare("limited", limited);
   rare("not_ready", not_ready);
--- a/src/observe/counters.h
+++ b/src/observe/counters.h
@@ -39,6 +39,7 @@
   uint64_t repeated_ids = 0;     // of `bad`: ids of requests that are open or may have run
   uint64_t refused_unread = 0;   // refused because more input waits than is read ahead
   uint64_t refused_memory = 0;   // refused because messages hold as much memory as they may
+  uint64_t expired = 0;          // large requests answered because their client's time was over
   uint64_t denied = 0;           // refused because of their token
   uint64_t limited = 0;          // refused by the rate limits at admission
   uint64_t not_ready = 0;        // refused because no server list is known yet
--- a/src/upstream/http_upstream.cpp
+++ b/src/upstream/http_upstream.cpp
@@ -167,9 +167,10 @@
 }
 
 // Sends the rest of a query's body as it arrives. Returns kDone once the last byte was written, kBroken if
-// the server accepted no more, and kLater if the client did not deliver the rest.
-Task<BodySource::Next> HttpUpstream::SendBodyRest(Stream& to, std::shared_ptr<BodySource> body_rest) {
+// the server accepted no more, and kLater if the client did not deliver the rest or needs no answer.
+Task<BodySource::Next> HttpUpstream::SendBodyRest(Stream& to, const HttpPayload& query) {
   using Next = BodySource::Next;
+  const std::shared_ptr<BodySource> body_rest = query.body_rest;
   std::string chunk, out;
   while (true) {
     chunk.clear();
@@ -184,8 +185,9 @@
       AppendChunk(out, chunk);  // the last chunk is empty
       chunk.swap(out);
     }
-    bool written = co_await WriteAll(to, chunk, scheduler_.Now() + kStreamStallTimeout);
-    if (!written) co_return Next::kBroken;
+    const Micros by = std::min(scheduler_.Now() + kStreamStallTimeout, body_rest->ResponseDeadline());
+    bool written = co_await WriteByDeadline(to, query, chunk, by);
+    if (!written) co_return query.closed ? Next::kLater : Next::kBroken;
     if (next == Next::kDone) co_return Next::kDone;
   }
 }
@@ -258,7 +260,7 @@
   if (!sent) co_return query.closed ? Outcome::kMoot : Outcome::kConnectFailed;
   if (body_rest) {
     query.consumed = true;
-    const BodySource::Next rest_sent = co_await SendBodyRest(to, body_rest);
+    const BodySource::Next rest_sent = co_await SendBodyRest(to, query);
     if (rest_sent == BodySource::Next::kLater) co_return Outcome::kMoot;  // the host is not at fault
     if (rest_sent != BodySource::Next::kDone) co_return Outcome::kConnectFailed;
     attempt.until = body_rest->ResponseDeadline();
--- a/src/upstream/http_upstream.h
+++ b/src/upstream/http_upstream.h
@@ -77,7 +77,7 @@
   void FinishAnswer(AttemptState& attempt, HttpParser& parser, bool has_more_input, ByteBudget::Share memory,
                     ServerAnswer& answer);
   Task<bool> WriteByDeadline(Stream& to, const Payload& query, std::string_view bytes, Micros until);
-  Task<BodySource::Next> SendBodyRest(Stream& to, std::shared_ptr<BodySource> body_rest);
+  Task<BodySource::Next> SendBodyRest(Stream& to, const HttpPayload& query);
   std::unique_ptr<Link> TakeIdleLink(const Host& host);
   bool Usable(const Host& host, const Link& link);
   void ReturnToPool(const Host& host, std::unique_ptr<Link> link);
