Membership: a host listed at the address of another takes its place

Cause: the host group knew hosts by their ids alone. A list of changes that names the new id does not say that the old one has gone, which stayed ready at an address that was another's.

Change: the latest list that gives a host its address (anew, after a new start, or after it was gone) claims it, and hosts that were there before have gone, for the module too, until they are started or listed elsewhere. Within one list the latest start counts; hosts that can't be told apart share the address. Their links go; a connection that comes up meanwhile is not written to. A superseded host is handed over as gone.

--- a/src/membership/host_group.cpp
+++ b/src/membership/host_group.cpp
@@ -58,31 +58,51 @@
   module_list.kind = list.full ? ListKind::kFull : ListKind::kChanges;
   if (list.full && settings_.gone_binds) {
     for (auto& [id, host] : hosts_) {
+      host->gone_before = host->listed == BackendState::kGone;
       host->listed = BackendState::kGone;  // unless the list names it, see below
       if (host->gone_at == kNever) host->gone_at = now;
       UpdateState(*host);
     }
   }
+  ++lists_applied_;
+  std::vector<const Host*> claimants;
   for (HostEntry e : list.hosts) {
     Host& host = FindOrAdd(e.name);
+    if (!list.full || !settings_.gone_binds) host.gone_before = host.listed == BackendState::kGone;
     // A start time in the future is replaced by now. Otherwise a node would count as cold for as long as the
     // clocks differ.
     const Micros listed_start = e.entry.started_at;
     if (listed_start > now)
       e.entry.started_at = listed_start == host.started_at ? host.entry.started_at : now;
-    if (e.address.length > 0 && (host.address.text != e.address.text || host.started_at != listed_start)) {
-      host.address = e.address;
+    if (e.address.length > 0) {
+      const bool restarted = host.address.text != e.address.text || host.started_at != listed_start;
+      SetAddress(host, e.address);
       host.started_at = listed_start;
-      ++host.incarnation;  // links to the process before its restart are useless
+      if (restarted) ++host.incarnation;  // links to the process before its restart are useless
+      if ((restarted || host.gone_before) && e.entry.state != BackendState::kGone) {
+        host.claimed_at = lists_applied_;
+        host.superseded = false;
+        claimants.push_back(&host);
+      }
     }
     if (e.entry.state != BackendState::kGone) host.entry = e.entry;
     if (e.entry.state != BackendState::kGone || settings_.gone_binds) host.listed = e.entry.state;
     host.entry.id = host.id;
     const bool gone = host.listed == BackendState::kGone;
     host.gone_at = !gone ? kNever : host.gone_at == kNever ? now : host.gone_at;
+  }
+  std::vector<Host*> changed;
+  for (const Host* host : claimants) SupersedeOthers(*host, changed);
+  for (const HostEntry& e : list.hosts) {
+    Host& host = FindOrAdd(e.name);
     UpdateState(host);
     module_list.entries.push_back(ModuleEntry(host));
     if (e.entry.state == BackendState::kGone) module_list.entries.back().state = BackendState::kGone;
+    std::erase(changed, &host);
+  }
+  for (Host* host : changed) {  // hosts that the list does not name
+    CountChange(*host);
+    module_list.entries.push_back(ModuleEntry(*host));
   }
   ForgetGone(now);
   if (list.full) {
@@ -93,6 +113,34 @@
   return module_list;
 }
 
+void HostGroup::SetAddress(Host& host, const Address& address) {
+  if (host.address.text == address.text) return;
+  Release(host);
+  host.address = address;
+  by_address_[host.address.text].push_back(&host);
+}
+
+void HostGroup::Release(const Host& host) {
+  const auto at = by_address_.find(host.address.text);
+  if (at == by_address_.end()) return;
+  std::erase(at->second, &host);
+  if (at->second.empty()) by_address_.erase(at);
+}
+
+// The hosts that were listed at the claimant's address before have gone: by an earlier list, or, in the same
+// list, with an earlier start. Hosts that can't be told apart share the address. Appends those that this
+// changes.
+void HostGroup::SupersedeOthers(const Host& claimant, std::vector<Host*>& changed) {
+  const auto claim = [](const Host& host) { return std::pair(host.claimed_at, host.started_at); };
+  for (Host* other : by_address_[claimant.address.text]) {
+    if (other->superseded || claim(*other) >= claim(claimant)) continue;
+    other->superseded = true;
+    ++other->incarnation;  // links to its address lead to the other process
+    UpdateState(*other);
+    changed.push_back(other);
+  }
+}
+
 void HostGroup::ForgetGone(Micros now) {
   if (hosts_.size() <= kMaxKnown) return;
   std::vector<const Host*> gone;
@@ -107,6 +155,7 @@
   for (const Host* host : gone) {
     const meadowslip::BackendId id = host->id;
     by_name_.erase(host->name);
+    Release(*host);
     hosts_.erase(id);
   }
 }
@@ -114,7 +163,8 @@
 // Combines the operator's calls with the listed state. No other function does so.
 void HostGroup::UpdateState(Host& host) const {
   const bool drains = host.out || ModuleEntry(host).started_at > cold_since_;
-  host.state = drains && host.listed == BackendState::kReady ? BackendState::kDraining : host.listed;
+  const BackendState listed = host.superseded ? BackendState::kGone : host.listed;
+  host.state = drains && listed == BackendState::kReady ? BackendState::kDraining : listed;
 }
 
 // A host that was out of service is assumed to have restarted by the time it was put back. Guards the rule
@@ -185,7 +235,7 @@
     r.id = id;
     r.name = host->name;
     r.address = host->address.text;
-    r.listed = host->listed;
+    r.listed = host->superseded ? BackendState::kGone : host->listed;
     r.out = host->out;
     r.out_at = host->out_at;
     r.back_at = host->back_at;
@@ -225,10 +275,12 @@
     UpdateState(*host);
     host->state_counted = host->state;
     fresh.by_name_[r.name] = host.get();
+    if (host->address.length > 0) fresh.by_address_[host->address.text].push_back(host.get());
     fresh.hosts_.emplace(r.id, std::move(host));
   }
   hosts_ = std::move(fresh.hosts_);
   by_name_ = std::move(fresh.by_name_);
+  by_address_ = std::move(fresh.by_address_);
   version_ = version;
   return true;
 }
@@ -247,7 +299,8 @@
   BackendList module_list;
   module_list.kind = ListKind::kCached;  // so that the module does not treat it as an answer from discovery
   for (const auto& [id, host] : hosts_) {
-    if (host->listed != BackendState::kGone) module_list.entries.push_back(ModuleEntry(*host));
+    if (host->listed != BackendState::kGone && !host->superseded)
+      module_list.entries.push_back(ModuleEntry(*host));
   }
   std::sort(module_list.entries.begin(), module_list.entries.end(),
             [](const BackendEntry& a, const BackendEntry& b) { return a.id < b.id; });
--- a/src/membership/host_group.h
+++ b/src/membership/host_group.h
@@ -28,10 +28,16 @@
   meadowslip::BackendState state = meadowslip::BackendState::kGone;
   meadowslip::BackendState listed = meadowslip::BackendState::kGone;
   meadowslip::BackendEntry entry = {};  // as listed last
-  bool out = false;                     // an operator has taken it out of service
-  Micros out_at = 0;                    // when an operator last took it out
-  Micros back_at = 0;                   // when an operator last put it back; it may have restarted until then
-  Micros called_at = 0;      // time of the operators' last call about it; see HostGroup::CalledAt()
+  bool gone_before = true;              // its listed state was kGone before the latest list
+  // Another host was listed at its address later: the process of this one has gone, whatever the list says of
+  // it.
+  bool superseded = false;
+  uint64_t claimed_at =
+      0;                 // the list, by the group's own count, that last gave it its address or a new start
+  bool out = false;      // an operator has taken it out of service
+  Micros out_at = 0;     // when an operator last took it out
+  Micros back_at = 0;    // when an operator last put it back; it may have restarted until then
+  Micros called_at = 0;  // time of the operators' last call about it; see HostGroup::CalledAt()
   Micros gone_at = kNever;   // since when its listed state is kGone
   Micros started_at = 0;     // as listed; in `entry` it is never later than the time the list arrived
   uint64_t incarnation = 0;  // incremented by each restart and change of address
@@ -118,6 +124,9 @@
  private:
   Host& FindOrAdd(const std::string& name);
   void ForgetGone(Micros now);
+  void SetAddress(Host& host, const Address& address);
+  void Release(const Host& host);
+  void SupersedeOthers(const Host& claimant, std::vector<Host*>& changed);
   Host* FindByName(std::string_view name);
   void UpdateState(Host& host) const;
   static meadowslip::BackendEntry ModuleEntry(const Host& host);
@@ -126,6 +135,8 @@
   const meadowslip::Settings& settings_;
   std::unordered_map<meadowslip::BackendId, std::shared_ptr<Host>> hosts_;
   std::unordered_map<std::string, Host*> by_name_;
+  std::unordered_map<std::string, std::vector<Host*>> by_address_;  // hosts that have been listed there last
+  uint64_t lists_applied_ = 0;
   uint64_t version_ = 0;
   Micros cold_since_ = kNever;  // hosts started later belong to another process
   HostChanges changes_;
