Observability: why requests are refused or given up, and when memory runs short

While two processes of an upgrade ran, each counted the whole limit as its own. Freed memory stayed with the process.

While two processes run each budgets three eighths of the limit. When memory suffices again, what is free goes back to the system (malloc_trim).

The test of stopped bodies looks for both lines.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -249,6 +249,7 @@
   ++counters_.taken;
   if (queries_.size() >= std::min(max_open_queries_, static_cast<size_t>(settings_.open_cap))) {
     ++counters_.throttled;
+    ++counters_.refused_open;
     if (figures_) figures_->Add(incoming.labels.series, Figure::kThrottled);
     incoming.sink->Throttle(DefaultRetryAfter());
     return id;
--- a/src/front/client_link.cpp
+++ b/src/front/client_link.cpp
@@ -181,6 +181,7 @@
       }
     }
     ++front_.parts_.counters.bad;
+    front_.parts_.counters.unfinished += parsed == Parsed::kMore;
     close_after_answer_ = true;
     PrepareAnswer(parsed == Parsed::kMore ? 408 : parsed == Parsed::kBad ? 400 : 413, "", "");
     co_await WriteAnswer();
@@ -415,6 +416,7 @@
     dispatcher.ClientLeft(id);
     if (status > 0) {
       ++front_.parts_.counters.bad;
+      front_.parts_.counters.unfinished += status == 408;
       close_after_answer_ = true;
       PrepareAnswer(status, "", "");
       co_await WriteAnswer();
--- a/src/front/http_front.cpp
+++ b/src/front/http_front.cpp
@@ -193,6 +193,7 @@
     }
   }
   const std::vector<size_t> first = ChooseLinksToClose(statuses, wanted);
+  parts_.counters.closed_short += first.size();
   for (size_t i : first) {
     statuses[i].activity == LinkStatus::Activity::kPartialQuery ? links[i]->AbortUnfinished()
                                                                 : links[i]->CloseWhenIdle();
--- a/src/io/machine.h
+++ b/src/io/machine.h
@@ -31,6 +31,7 @@
   virtual std::unique_ptr<Writable> StandardError() = 0;
   virtual size_t MaxDescriptors() = 0;  // limit of open descriptors of this process
   virtual size_t ResidentBytes() = 0;   // resident memory of this process; 0 if unknown
+  virtual void ReturnFreeMemory() {}    // to the system, as far as the allocator can; takes some milliseconds
 
   Micros Now() { return scheduler().Now(); }
   // A random number, uniform in [0, 1). It comes from the system's entropy, so machines cloned from one image
--- a/src/io/real_machine.cpp
+++ b/src/io/real_machine.cpp
@@ -1,6 +1,7 @@
 #include "io/real_machine.h"
 
 #include <fcntl.h>
+#include <malloc.h>
 #include <signal.h>
 #include <sys/epoll.h>
 #include <sys/random.h>
@@ -133,6 +134,8 @@
   return std::strtoull(text.c_str() + blank, nullptr, 10) * static_cast<size_t>(sysconf(_SC_PAGESIZE));
 }
 
+void RealMachine::ReturnFreeMemory() { malloc_trim(0); }
+
 ProcessSignals::ProcessSignals(RealScheduler& scheduler, std::initializer_list<int> signals)
     : Signal(scheduler) {
   sigset_t set;
--- a/src/io/real_machine.h
+++ b/src/io/real_machine.h
@@ -60,6 +60,7 @@
   std::unique_ptr<Writable> StandardError() override;
   size_t MaxDescriptors() override;
   size_t ResidentBytes() override;
+  void ReturnFreeMemory() override;
 
  private:
   // Checked first: if standard error is closed, the next descriptor opened gets its number.
--- a/src/links/byte_budget.h
+++ b/src/links/byte_budget.h
@@ -60,6 +60,8 @@
     size_t held_ = 0;
   };
 
+  bool tight() const { return used_ >= total_ / 4 * 3; }
+  bool ample() const { return used_ < total_ / 2; }
   size_t available() const { return total_ - std::min(total_, used_); }
   size_t used() const { return used_; }
   size_t total() const { return total_; }
--- a/src/observe/counters.cpp
+++ b/src/observe/counters.cpp
@@ -32,6 +32,9 @@
   rare("refused_unread", refused_unread);
   rare("refused_memory", refused_memory);
   rare("expired", expired);
+  rare("refused_open", refused_open);
+  rare("unfinished", unfinished);
+  rare("closed_short", closed_short);
   rare("denied", denied);
   rare("limited", limited);
   rare("not_ready", not_ready);
--- a/src/observe/counters.h
+++ b/src/observe/counters.h
@@ -40,6 +40,9 @@
   uint64_t refused_unread = 0;   // refused because more input waits than is read ahead
   uint64_t refused_memory = 0;   // refused because messages hold as much memory as they may
   uint64_t expired = 0;          // large requests answered because their client's time was over
+  uint64_t refused_open = 0;     // refused because too many requests are open
+  uint64_t unfinished = 0;       // of `bad`: requests that did not arrive in time
+  uint64_t closed_short = 0;     // idle client links closed because descriptors run short
   uint64_t denied = 0;           // refused because of their token
   uint64_t limited = 0;          // refused by the rate limits at admission
   uint64_t not_ready = 0;        // refused because no server list is known yet
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -291,6 +291,26 @@
      "descriptors suffice again: {open} links are open, of {most}",
      "Less than half are in use, after a `descriptors_tight`.",
      {{{"open", kNumber, "links open, to clients and to servers"}, {"most", kNumber, "how many may be"}}}},
+    {"memory_tight",
+     LogLevel::kWarning,
+     "memory runs short: requests hold {requests_kb} kB and answers {answers_kb} kB, the process "
+     "{resident_kb} "
+     "kB of {most_kb}",
+     "Requests or answers hold three quarters of what they may. Further large requests take the memory of "
+     "stalled ones or are refused (`refused_memory`), further large answers are passed on in small pieces.",
+     {{{"requests_kb", kNumber, "held for requests, beyond what each may hold freely"},
+       {"answers_kb", kNumber, "held for answers, likewise"},
+       {"resident_kb", kNumber, "the memory of the process"},
+       {"most_kb", kNumber, "the limit of the process"}}}},
+    {"memory_enough",
+     LogLevel::kInfo,
+     "memory suffices again: requests hold {requests_kb} kB and answers {answers_kb} kB, the process "
+     "{resident_kb} kB of {most_kb}",
+     "Both hold less than half of what they may, after a `memory_tight`.",
+     {{{"requests_kb", kNumber, "held for requests, beyond what each may hold freely"},
+       {"answers_kb", kNumber, "held for answers, likewise"},
+       {"resident_kb", kNumber, "the memory of the process"},
+       {"most_kb", kNumber, "the limit of the process"}}}},
     {"cluster_serving",
      LogLevel::kInfo,
      "cluster {site}: this member is reached at {address}",
--- a/src/serve/program.cpp
+++ b/src/serve/program.cpp
@@ -448,6 +448,7 @@
     upstream_.CloseStaleIdle();
     list_log_->LogChanges();
     LogDescriptorUse();
+    WatchMemory();
     RetrySaveOutFile();
     SaveList();
     LogStartPhase();
@@ -463,6 +464,31 @@
   list_pacing_->SetBalancers(std::max<double>(config_.settings.nodes, static_cast<double>(known)));
 }
 
+// Logs only the two transitions, like LogDescriptorUse().
+void Program::WatchMemory() {
+  const bool tight = memory_.requests.tight() || memory_.answers.tight();
+  const bool ample = memory_.requests.ample() && memory_.answers.ample();
+  if (memory_tight_ ? !ample : !tight) return;
+  memory_tight_ = tight;
+  const size_t requests_kb = memory_.requests.used() / 1024, answers_kb = memory_.answers.used() / 1024;
+  const size_t resident_kb = machine_.ResidentBytes() / 1024;
+  const size_t most_kb = static_cast<size_t>(config_.memory_mb) * 1024;
+  if (tight) {
+    log_.Emit<"memory_tight">(requests_kb, answers_kb, resident_kb, most_kb);
+    return;
+  }
+  machine_.ReturnFreeMemory();
+  log_.Emit<"memory_enough">(requests_kb, answers_kb, resident_kb, most_kb);
+}
+
+// The two processes of a hand-over share the limit, and each needs memory for itself beside what messages
+// hold.
+void Program::UpdateMemoryBudgets() {
+  const size_t limit = static_cast<size_t>(config_.memory_mb) * kMegabyte;
+  const bool two_processes = other_use_.descriptors > 0 || phase_ == Phase::kHandedOver;
+  memory_.SetMemory(two_processes ? limit / 8 * 3 : limit);
+}
+
 // Logs only the two transitions. Their thresholds are far apart, so that a budget that is nearly used up
 // writes few lines.
 void Program::LogDescriptorUse() {
--- a/src/serve/program.h
+++ b/src/serve/program.h
@@ -140,6 +140,8 @@
   void UpdateDescriptorLimits();
   void OnListUpdate(const HostList* list, const std::string& why);
   void LogDescriptorUse();
+  void WatchMemory();
+  void UpdateMemoryBudgets();
   Task<> RunPhases();
   Task<> RunSweep();
 
@@ -180,6 +182,7 @@
   Micros manual_drain_since_ = 0;
   ResourceUse other_use_;  // resources of the other process during a hand-over
   bool descriptors_tight_ = false;
+  bool memory_tight_ = false;
   Micros start_began_at_ = 0;
   start::StartPhase logged_phase_ = start::StartPhase::kNoList;
   bool list_file_error_logged_ = false;  // since the last successful write
--- a/src/serve/program_handover.cpp
+++ b/src/serve/program_handover.cpp
@@ -66,6 +66,7 @@
     phase_before_handover_ = phase_;
     phase_ = Phase::kHandedOver;
   }
+  UpdateMemoryBudgets();
   log_.Emit<"handed_over">(front_.open(), dispatcher_.open());
   front_.StopAccepting();
   member_.reset();  // without an announcement: the successor continues as the same member
@@ -91,6 +92,7 @@
   if (phase_ != Phase::kHandedOver) return;
   log_.Emit<"taken_back">(handover_->links_lost());
   phase_ = phase_before_handover_;
+  UpdateMemoryBudgets();
   front_.HandOverLinks(nullptr);
   front_.StartAccepting();
   Join();
@@ -115,6 +117,7 @@
   const bool first = other_use_.descriptors == 0 && use.descriptors > 0;
   other_use_ = use;
   UpdateDescriptorLimits();
+  UpdateMemoryBudgets();
   if (!first) return;
   log_.Emit<"two_processes">(use.descriptors, use.memory_kb, budget_.open() + LinkBudget::kSpareDescriptors,
                              machine_.ResidentBytes() / 1024, descriptors());
--- a/tests/misbehaviour/memory_test.cpp
+++ b/tests/misbehaviour/memory_test.cpp
@@ -11,10 +11,11 @@
 size_t CrowdSize(int sockets) { return static_cast<size_t>(sockets) * 71 / 100; }
 
 // Lets the crowd write for `span` while a bystander asks; reports the peak, and checks it and the bystander.
-void CheckCrowd(const std::string& kind, const NodeScript& script, int sockets, size_t count,
-                const std::function<std::string(size_t)>& text_of, size_t write_piece = 1 << 20,
-                size_t read_piece = 0, milliseconds span = milliseconds(3000),
-                milliseconds pause = milliseconds(10)) {
+// Returns the program's log.
+std::string CheckCrowd(const std::string& kind, const NodeScript& script, int sockets, size_t count,
+                       const std::function<std::string(size_t)>& text_of, size_t write_piece = 1 << 20,
+                       size_t read_piece = 0, milliseconds span = milliseconds(3000),
+                       milliseconds pause = milliseconds(10)) {
   ScriptedNode node(script);
   Program program(LeastMemoryConfig(node, sockets), InService());
   const size_t before = ResidentKb(program);
@@ -34,7 +35,9 @@
   CHECK(peak <= kLimitKb);
 #endif
   crowd.Leave();
+  poll(nullptr, 0, 600);  // the memory is looked at each half second
   CHECK(program.Wait(SIGTERM) == 0);
+  return program.output;
 }
 
 std::string TraceOf(size_t i) { return Numbered("t", i); }
@@ -43,10 +46,12 @@
 
 TEST_CASE("clients that stop in a body of 65,000 bytes don't take the process over its memory limit") {
   for (const int sockets : {512, 1024}) {
-    CheckCrowd("stopped bodies", {}, sockets, CrowdSize(sockets), [](size_t i) {
+    const std::string log = CheckCrowd("stopped bodies", {}, sockets, CrowdSize(sockets), [](size_t i) {
       return "POST /open HTTP/1.1\r\nX-Trace-Id: " + TraceOf(i) + "\r\n" + ManyShortHeaders(92) +
              "Content-Length: 65000\r\n\r\n" + std::string(64000, 'b');
     });
+    CHECK(log.find("memory runs short") != std::string::npos);
+    CHECK(log.find("memory suffices again") != std::string::npos);
   }
 }
 
