--- a/tests/misbehaviour/scripted_node.h
+++ b/tests/misbehaviour/scripted_node.h
@@ -47,6 +47,7 @@
   struct Seen {
     std::string trace;
     Clock::time_point at;
+    bool unsafe = false;  // a POST without a key
   };
 
   explicit ScriptedNode(NodeScript script = {}) : script_(std::move(script)) {
@@ -126,7 +127,9 @@
     if (one.in.size() < size) return false;
     {
       const std::lock_guard<std::mutex> lock(mutex_);
-      seen_.push_back({HeaderOf(one.in.substr(0, end + 2), "X-Trace-Id"), Clock::now()});
+      const std::string head = one.in.substr(0, end + 2);
+      const bool unsafe = head.starts_with("POST ") && HeaderOf(head, "Idempotency-Key").empty();
+      seen_.push_back({HeaderOf(head, "X-Trace-Id"), Clock::now(), unsafe});
     }
     one.in.erase(0, size);
     one.write_at = Clock::now() + script_.delay;
