--- a/tests/features/rate_limiter_test.cpp
+++ b/tests/features/rate_limiter_test.cpp
@@ -127,7 +127,7 @@
   Link client = Link::To(program.port);
   std::optional<Link> link;
   auto served = [&](const std::string& tenant) {
-    client.Write("POST /open HTTP/1.1\r\nX-Trace-Id: t\r\n" + TenantHeader(tenant) +
+    client.Write("POST /open HTTP/1.1\r\nX-Trace-Id: " + FreshTraceId() + "\r\n" + TenantHeader(tenant) +
                  "Content-Length: 4\r\n\r\nbody");
     server.AwaitQuery(link);
     CHECK(link->Read().ends_with("body"));
@@ -135,7 +135,7 @@
     CHECK(client.Read().ends_with("fine"));
   };
   auto refused = [&](const std::string& tenant) {
-    client.Write("POST /open HTTP/1.1\r\nX-Trace-Id: t\r\n" + TenantHeader(tenant) +
+    client.Write("POST /open HTTP/1.1\r\nX-Trace-Id: " + FreshTraceId() + "\r\n" + TenantHeader(tenant) +
                  "Content-Length: 4\r\n\r\nbody");
     std::string answer = client.Read();
     CHECK(answer.starts_with("HTTP/1.1 429 Too Many Requests\r\n"));
--- a/tests/features/tokens_test.cpp
+++ b/tests/features/tokens_test.cpp
@@ -138,7 +138,8 @@
     return made.output.substr(0, made.output.size() - 1);
   };
   auto ask = [&](const std::string& headers) {
-    client.Write("POST /open HTTP/1.1\r\nX-Trace-Id: t\r\n" + headers + "Content-Length: 4\r\n\r\nbody");
+    client.Write("POST /open HTTP/1.1\r\nX-Trace-Id: " + FreshTraceId() + "\r\n" + headers +
+                 "Content-Length: 4\r\n\r\nbody");
   };
   auto denied = [&](const std::string& headers, const std::string& status, const std::string& body) {
     CAPTURE(headers);
--- a/tests/histories/ends_test.cpp
+++ b/tests/histories/ends_test.cpp
@@ -173,7 +173,7 @@
   co_await pause.Wait(simulation.Now() - simulation.time_since_start() + terminates + query.connects);
   query.link = simulation.Connect();
   co_await pause.Wait(simulation.Now() - simulation.time_since_start() + terminates + query.sends);
-  co_await Write(*query.link, Query("t"));
+  co_await Write(*query.link, Query(std::string("t").append(std::to_string(query.sends))));
   query.answer = co_await ReadMessage(*query.link);
   query.answered_at = simulation.Now();
   query.over = true;
--- a/tests/races/client_links_test.cpp
+++ b/tests/races/client_links_test.cpp
@@ -95,7 +95,7 @@
   for (const End how : {End::kClose, End::kHalfClose, End::kReset}) {
     CAPTURE(static_cast<int>(how));
     Link client = Link::To(program.port);
-    client.Write(Post("open", "t1", "x"));
+    client.Write(Post("open", FreshTraceId(), "x"));
     Link link = server.Accept();
     CHECK_FALSE(link.Read().empty());
     client.Write(ahead);
--- a/tests/service/messages_test.cpp
+++ b/tests/service/messages_test.cpp
@@ -219,10 +219,10 @@
     "a large body that ends early, stalls or is malformed is rejected, and its node never has all of it") {
   Peer server;
   Program program(ConfigText(SmallMemorySetup(Entry("s-1", server.port))));
-  const std::string head = "POST /open HTTP/1.1\r\nX-Trace-Id: t\r\n";
+  const auto head = [] { return "POST /open HTTP/1.1\r\nX-Trace-Id: " + FreshTraceId() + "\r\n"; };
   {
     Link client = Link::To(program.port);
-    client.Write(head + "Content-Length: 20000000\r\n\r\n" + std::string(100000, 'x'));
+    client.Write(head() + "Content-Length: 20000000\r\n\r\n" + std::string(100000, 'x'));
     Link link = server.Accept();
     CHECK_FALSE(ReadHead(link).empty());
     CHECK(client.Read().starts_with("HTTP/1.1 408 "));  // it stalled
@@ -230,20 +230,20 @@
   }
   {
     Link client = Link::To(program.port);
-    client.Write(head + "Content-Length: 20000000\r\n\r\n" + std::string(100000, 'x'));
+    client.Write(head() + "Content-Length: 20000000\r\n\r\n" + std::string(100000, 'x'));
     Link link = server.Accept();
     client.Close();
     CHECK(ReceiveBytes(link, 20000000) < 20000000);
   }
   {
     Link client = Link::To(program.port);
-    client.Write(head + "Transfer-Encoding: chunked\r\n\r\n100000\r\n" + std::string(0x100000, 'x') +
+    client.Write(head() + "Transfer-Encoding: chunked\r\n\r\n100000\r\n" + std::string(0x100000, 'x') +
                  "no size\r\n");
     CHECK(client.Read().starts_with("HTTP/1.1 400 "));
   }
   {
     Link client = Link::To(program.port);
-    client.Write(head + "Content-Length: 33554433\r\n\r\n");
+    client.Write(head() + "Content-Length: 33554433\r\n\r\n");
     CHECK(client.Read().starts_with("HTTP/1.1 413 "));
   }
 }
@@ -271,8 +271,8 @@
   Program program(ConfigText(SmallMemorySetup(Entry("s-1", server.port))), {"serve", "--config", file.path});
   for (const bool breaks : {false, true}) {
     Link client = Link::To(program.port);
-    client.Write("POST /open HTTP/1.1\r\nX-Trace-Id: t\r\nContent-Length: 9000000\r\n\r\n" +
-                 std::string(100000, 'x'));
+    client.Write("POST /open HTTP/1.1\r\nX-Trace-Id: " + FreshTraceId() +
+                 "\r\nContent-Length: 9000000\r\n\r\n" + std::string(100000, 'x'));
     Link link = server.Accept();
     CHECK_FALSE(ReadHead(link).empty());
     if (breaks) link.Reset();
--- a/tests/service/upgrade_test.cpp
+++ b/tests/service/upgrade_test.cpp
@@ -123,7 +123,7 @@
   REQUIRE(PostCall(next.admin, "/healthcheck/ok") == 200);
   CHECK(UpStatus(platform.listener.port) == 200);
   Link again = Link::To(platform.listener.port);
-  for (int i = 0; i < 10; ++i) CHECK(ServeQuery(again, two, Numbered("t", i)).ends_with("fine"));
+  for (int i = 0; i < 10; ++i) CHECK(ServeQuery(again, two, FreshTraceId()).ends_with("fine"));
   REQUIRE(PostCall(old.admin, "/nodes/s-2/maint") == 200);  // at the old process's address
   REQUIRE(PostCall(next.admin, "/nodes/s-1/ready") == 200);
   CHECK(WaitForLog(next, "s-2 is out by hand"));
--- a/tests/stories/peers.h
+++ b/tests/stories/peers.h
@@ -164,6 +164,12 @@
          "\r\nIdempotency-Key: k\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+// A trace id that no other request of this test program has: a balancer answers a repeated one with an error.
+inline std::string FreshTraceId() {
+  static int count = 0;
+  return std::string("fresh-").append(std::to_string(++count));
+}
+
 struct Setup {
   std::string known = {};
   uint16_t discovery = 1;
--- a/tests/stories/stories_test.cpp
+++ b/tests/stories/stories_test.cpp
@@ -73,7 +73,7 @@
                              "nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n",
                              "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort"}) {
     Link client = Link::To(program.port);
-    client.Write(Post("open", "t", "x"));
+    client.Write(Post("open", FreshTraceId(), "x"));
     Link link = Peer::FirstContacted(one, two).Accept();
     CHECK(link.Read().ends_with("x"));
     link.Write(answer);
@@ -113,13 +113,13 @@
   };
   std::string query = "first";
   for (int i = 0; i < 12 && !query.empty(); ++i) {  // more than three if this machine is slow to reset
-    client.Write(Post("open", "a", "x"));
+    client.Write(Post("open", FreshTraceId(), "x"));
     Link link = served(server.Accept());
     LetServerLinksRest();
-    client.Write(Post("open", "s", "x"));
+    client.Write(Post("open", FreshTraceId(), "x"));
     link = served(std::move(link));                               // soon: the link is reused
     std::this_thread::sleep_for(std::chrono::milliseconds(300));  // idle time of the link
-    client.Write(Post("open", "b", "x"));
+    client.Write(Post("open", FreshTraceId(), "x"));
     query = link.Read();  // empty: the link was closed and a new one is opened
     if (query.empty()) {
       served(server.Accept());
