Control: a flood of operators' connections gives up the thread too

Cause: the same mistake as in the front, work without a bound in one turn: the second address accepted connections until none waited, and a caller that connects at full speed kept the thread.

Change: after sixteen accepted connections the listener waits for its next turn.

Measured: the tests of operators' calls run with the suite; no test plays this flood alone.

--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -14,6 +14,7 @@
 constexpr Micros kCallTimeout = 3 * kSecond;    // to receive a complete call
 constexpr Micros kAnswerTimeout = 1 * kSecond;  // for the caller to read the response and close
 constexpr Micros kAcceptPause = 10 * kMs;
+constexpr size_t kMaxAcceptedPerTurn = 16;
 
 }  // namespace
 
@@ -38,24 +39,22 @@
 }
 
 Task<> ControlServer::Accept() {
-  while (true) {
-    bool none = false;
-    while (!none) {
-      EvictCalls();
-      std::unique_ptr<Stream> stream;
-      const Listener::Accepted accepted = listener_->Accept(stream);
-      none = accepted != Listener::Accepted::kOne;
-      if (none) {
-        // Free descriptors cause no notification, so retry after a pause.
-        const bool has_descriptors = accepted == Listener::Accepted::kNone;
-        co_await listener_->Wait(has_descriptors ? kNever : machine_.Now() + kAcceptPause);
-        continue;
-      }
-      calls_.push_back(std::make_unique<Call>(std::move(stream)));
-      Call& call = *calls_.back();
-      call.task = Serve(call);
-      call.task.Start();  // reads at once: a call that arrived completely is answered before the next accept
+  for (size_t accepted = 0;;) {
+    EvictCalls();
+    std::unique_ptr<Stream> stream;
+    const Listener::Accepted result = listener_->Accept(stream);
+    if (result != Listener::Accepted::kOne) {
+      // Free descriptors cause no notification, so retry after a pause.
+      const bool has_descriptors = result == Listener::Accepted::kNone;
+      co_await listener_->Wait(has_descriptors ? kNever : machine_.Now() + kAcceptPause);
+      accepted = 0;
+      continue;
     }
+    calls_.push_back(std::make_unique<Call>(std::move(stream)));
+    Call& call = *calls_.back();
+    call.task = Serve(call);
+    call.task.Start();  // reads at once: a call that arrived completely is answered before the next accept
+    if (++accepted % kMaxAcceptedPerTurn == 0) co_await listener_->NextTurn();
   }
 }
 
