Links: descriptors are not exceeded while links that were asked to close still hold them

Cause: at its limit the budget let one more link to a node be opened as soon as any link had been asked to close. Those close later (their client has its last answer to read), so that each attempt of a burst opened one. The front had a limit for this of its own, the upstream none.

Change: one hard limit for both, half of the reserve above the links' limit; beyond it an attempt is moot and the module decides anew, as where the system has no descriptor.

--- a/src/front/http_front.cpp
+++ b/src/front/http_front.cpp
@@ -145,7 +145,7 @@
     const size_t capacity = parts_.budget.max_links();
     const bool over_client_share =
         parts_.config.in_service && open() >= capacity - capacity / kServerLinksDivisor;
-    if (over_client_share || parts_.budget.open() >= capacity + parts_.budget.spare() / 2) {
+    if (over_client_share || parts_.budget.open() >= parts_.budget.hard_limit()) {
       // Links that are already ending still count, so they are subtracted: otherwise each pass would shed as
       // many more, and close links that may stay.
       const size_t wanted = kMaxShedAtOnce - std::min(Ending(), kMaxShedAtOnce);
--- a/src/links/budget.cpp
+++ b/src/links/budget.cpp
@@ -18,10 +18,9 @@
 
 bool LinkBudget::EnsureCapacity(size_t wanted) {
   if (open() < max_links_) return true;
-  for (LinkHolder* holder : holders_) {
-    if (holder->ReleaseIdle(wanted)) return true;
-  }
-  return false;
+  const bool released = std::any_of(holders_.begin(), holders_.end(),
+                                    [wanted](LinkHolder* holder) { return holder->ReleaseIdle(wanted); });
+  return released && open() < hard_limit();
 }
 
 }  // namespace burlfall
--- a/src/links/budget.h
+++ b/src/links/budget.h
@@ -32,6 +32,8 @@
   size_t max_links() const { return max_links_; }
   size_t spare() const { return spare_; }  // kept free beside max_links(); kSpareDescriptors at most
   bool tight() const { return open() >= max_links_ * 3 / 4; }
+  // No link is opened beyond this, even while links that were asked to close still hold their descriptors.
+  size_t hard_limit() const { return max_links_ + spare_ / 2; }
   // Whether one more link fits. At the limit, the holders are first asked to release `wanted` idle links.
   bool EnsureCapacity(size_t wanted = 1);
 
--- a/tests/service/budget_test.cpp
+++ b/tests/service/budget_test.cpp
@@ -26,5 +26,23 @@
   EXPECT_EQ(budget.max_links(), 0u);
 }
 
+// Its links are asked to close, and close later.
+class SlowHolder final : public LinkHolder {
+ public:
+  size_t open() const override { return links; }
+  bool ReleaseIdle(size_t) override { return true; }
+  size_t links = 0;
+};
+
+TEST(LinkBudget, LinksThatWereAskedToCloseStillCountSoThatTheDescriptorsAreNotExceeded) {
+  LinkBudget budget;
+  budget.SetDescriptors(1024);
+  SlowHolder holder;
+  budget.Add(holder);
+  while (holder.links < 5000 && budget.EnsureCapacity()) ++holder.links;
+  EXPECT_GE(holder.links, budget.max_links());
+  EXPECT_LT(holder.links, 1024u);
+}
+
 }  // namespace
 }  // namespace burlfall
