Front: admission and the steps of a request in pieces of their own

Cause: ClientLink::HandleQuery() had grown to 110 lines and decided, built, sent and answered; admission knew the link. One fault beside it: query_lacks_memory_ kept the value of the query before where a body is streamed.

Change: front/admission judges tokens, readiness and rates and returns a typed refusal; AnswerLocally(), MakeQuery() and Dispatch() are the steps of a request. Repeats and requests that are not admitted are paced like other local answers. The flag is cleared as a query begins.

--- a/src/front/client_link.cpp
+++ b/src/front/client_link.cpp
@@ -137,6 +137,7 @@
 // answer or after an error answer that was written here.
 Task<bool> ClientLink::ReadQuery() {
   query_began_at_ = std::exchange(inherited_began_at_, 0);
+  query_lacks_memory_ = false;
   size_t read_this_turn = 0;
   while (true) {
     if (refused_for_memory_) break;
@@ -278,106 +279,21 @@
 // Answers one query. Returns false if the link is to be closed.
 Task<bool> ClientLink::HandleQuery() {
   HttpMessage message = upload_ ? parser_.TakeHead() : parser_.Take();
-  ByteBudget::Share memory = share_.Take(message.HeldBytes());
   close_after_answer_ = !message.keep_alive;
   http_1_0_client_ = message.http_1_0;
   head_only_ = message.method == "HEAD";
   answered_ = false;
   has_unread_input_ = false;
   answer_by_ = blocked_since_ = kNever;
-  const meadowslip::Settings& settings = front_.parts_.config.settings;
-  std::string_view path = std::string_view(message.target).substr(0, message.target.find('?'));
-  int request_class = ClassOf(front_.classes_, FirstSegment(message.target));
-  const bool has_trace_id = message.Find(platform::kTraceId) != nullptr;
-  const meadowslip::RequestClass* known_class =
-      request_class < 0 ? nullptr : &settings.classes[static_cast<size_t>(request_class)];
-  const RequestFault fault = FindFault(message, known_class, upload_ || !message.body.empty());
-  const bool may_be_builtin = !has_trace_id && message.method == "GET";
-  if (may_be_builtin && path == platform::kUpPath) {
-    PrepareAnswer(front_.up() ? 200 : 503, "", front_.up() ? "up\n" : "not serving\n");
-  } else if (may_be_builtin && path == platform::kCountersPath) {
-    PrepareAnswer(200, "", front_.parts_.counters.Text() + "\n");
-  } else if ((has_trace_id || request_class >= 0) && RefusedAtAdmission(message, request_class)) {
-    // Answered; the module is not notified.
-  } else if (!has_trace_id && request_class < 0) {
-    ++front_.parts_.counters.bad;
-    PrepareAnswer(404, "", "");
-  } else if (fault != RequestFault::kNone) {
-    ++front_.parts_.counters.bad;
-    ++front_.parts_.counters.unsound;
-    PrepareAnswer(StatusOf(fault), "", "");
-  } else if (front_.parts_.dispatcher.IsRepeat(*message.Find(platform::kTraceId))) {
-    ++front_.parts_.counters.bad;
-    ++front_.parts_.counters.repeated_ids;
-    PrepareAnswer(409, "", "");
-  } else if (FirstSegment(message.target).empty()) {
-    ++front_.parts_.counters.bad;
-    PrepareAnswer(404, "", "");
-  } else {
-    IncomingQuery query;
-    query.sink = this;
-    query.request.request_class = request_class;
-    const std::string* tenant = message.Find(platform::kTenant);
-    query.request.tenant = tenant != nullptr ? std::max(0, front_.tenants_.Find(PlainName(*tenant))) : 0;
-    if (Figures* figures = front_.parts_.figures) {
-      query.labels.series = figures->SeriesOf(request_class, tenant);
-      figures->Add(query.labels.series, Figure::kRequests);
-    }
-    const std::string* second_try = message.Find(platform::kSecondTry);
-    query.request.client_retry = second_try != nullptr && *second_try == "1";
-    query.request.estimate = ParseSize(message.Find(platform::kSizeHint));
-    // The client's timeout starts when it sends. The first bytes are the closest to that, unless the query
-    // was written slowly: then it is the last byte.
-    const Micros sent_at = front_.parts_.config.in_service ? stream_->scheduler().Now() : query_began_at_;
-    const std::string* deadline = message.Find(platform::kExpiresIn);
-    answer_timeout_ = deadline != nullptr      ? ParseDeadline(*deadline).value_or(0)
-                      : known_class != nullptr ? known_class->deadline
-                                               : 0;
-    query.request.give_up_at = sent_at + answer_timeout_;
-    auto payload = std::make_unique<HttpPayload>(std::move(message));
-    if (memory.held() > 0) payload->memory = std::make_shared<ByteBudget::Share>(std::move(memory));
-    query.labels.trace = payload->Find(platform::kTraceId);
-    query.labels.tenant = payload->Find(platform::kTenant);
-    if (request_class < 0) query.labels.unknown_class = FirstSegment(payload->target);
-    // Starts no attempt for a client that has left: if its end arrived in one batch with the query, or behind
-    // pipelined ones, there is no further notification of it.
-    const ClientState client = upload_ == nullptr     ? ReadAhead()
-                               : stream_->PeerEnded() ? ClientState::kLeft
-                                                      : ClientState::kPresent;
-    if (client == ClientState::kLeft) {
-      ++front_.parts_.counters.taken;
-      ++front_.parts_.counters.left;
-      if (Figures* figures = front_.parts_.figures) figures->Add(query.labels.series, Figure::kLeft);
-      co_return false;
-    }
-    if (client == ClientState::kUnknown || query_lacks_memory_) {
-      ++(query_lacks_memory_ ? front_.parts_.counters.refused_memory : front_.parts_.counters.refused_unread);
-      if (Figures* figures = front_.parts_.figures) figures->Add(query.labels.series, Figure::kThrottled);
-      Throttle(front_.parts_.dispatcher.DefaultRetryAfter());
-      bool refused = co_await WriteAnswer();
-      co_return refused && !close_after_answer_;
-    }
-    payload->body_rest = upload_;
-    query.payload = std::move(payload);
-    const meadowslip::RequestId id = front_.parts_.dispatcher.Submit(std::move(query));
-    if (upload_) {
-      bool still_open = co_await AwaitUpload(id);
-      if (!still_open) co_return false;
-    }
-    // Bytes behind a large body have not been read yet: in that case reads before it waits.
-    for (bool wait_first = !upload_; !answered_; wait_first = true) {
-      if (wait_first) co_await stream_->Wait(answer_by_);
-      if (!answered_ && stream_->scheduler().Now() >= answer_by_) front_.parts_.dispatcher.Expire(id);
-      if (!answered_ && ReadAhead() == ClientState::kLeft) {
-        front_.parts_.dispatcher.ClientLeft(id);
-        co_return false;
-      }
-    }
+  const int request_class = ClassOf(front_.classes_, FirstSegment(message.target));
+  AnswerLocally(message, request_class);
+  if (answered_ || request_class < 0) paced_until_ = pacer_.NoteAnswer(stream_->scheduler().Now());
+  if (!answered_) {
+    const bool answers = co_await Dispatch(MakeQuery(std::move(message), request_class));
+    if (!answers) co_return false;
   }
-  if (fault != RequestFault::kNone || request_class < 0)
-    paced_until_ = pacer_.NoteAnswer(stream_->scheduler().Now());
-  bool written = co_await WriteAnswer();
   const bool ends_with_link = body_rest_ && !body_rest_->length && http_1_0_client_;
+  bool written = co_await WriteAnswer();
   if (written && body_rest_) written = co_await WriteRest();
   // For an HTTP/1.0 client an orderly end of the link would mean that the answer is complete.
   if (!written && ends_with_link) stream_->Reset();
@@ -389,6 +305,122 @@
   co_return written && !close_after_answer_;
 }
 
+// Answers a request that does not reach the dispatcher: a question to this process, or one that is not
+// admitted, not sound or a repeat. Leaves others unanswered.
+void ClientLink::AnswerLocally(const HttpMessage& message, int request_class) {
+  Counters& counters = front_.parts_.counters;
+  const std::string* id = message.Find(platform::kTraceId);
+  const std::string_view path = std::string_view(message.target).substr(0, message.target.find('?'));
+  if (id == nullptr && message.method == "GET") {
+    if (path == platform::kUpPath)
+      return PrepareAnswer(front_.up() ? 200 : 503, "", front_.up() ? "up\n" : "not serving\n");
+    if (path == platform::kCountersPath) return PrepareAnswer(200, "", counters.Text() + "\n");
+  }
+  const bool names_nothing = id == nullptr && request_class < 0;
+  if (!names_nothing) {
+    if (const auto refusal = front_.admission_.Check(message, request_class, *stream_)) {
+      CountRefused(message, request_class, refusal->why);
+      return PrepareAnswer(refusal->status, refusal->headers, refusal->body);
+    }
+  }
+  const meadowslip::RequestClass* known_class = front_.ClassAt(request_class);
+  const RequestFault fault = FindFault(message, known_class, upload_ || !message.body.empty());
+  if (!names_nothing && fault != RequestFault::kNone) {
+    ++counters.bad;
+    ++counters.unsound;
+    return PrepareAnswer(StatusOf(fault), "", "");
+  }
+  if (names_nothing || FirstSegment(message.target).empty()) {
+    ++counters.bad;
+    return PrepareAnswer(404, "", "");
+  }
+  if (!front_.parts_.dispatcher.IsRepeat(*id)) return;
+  ++counters.bad;
+  ++counters.repeated_ids;
+  PrepareAnswer(409, "", "");
+}
+
+void ClientLink::CountRefused(const HttpMessage& message, int request_class, Figure why) {
+  Figures* figures = front_.parts_.figures;
+  if (figures == nullptr) return;
+  const Figures::Series series = figures->SeriesOf(request_class, message.Find(platform::kTenant));
+  figures->Add(series, Figure::kRequests);
+  figures->Add(series, why);
+}
+
+// The query as the dispatcher and the module know it.
+IncomingQuery ClientLink::MakeQuery(HttpMessage message, int request_class) {
+  IncomingQuery query;
+  query.sink = this;
+  query.request.request_class = request_class;
+  const std::string* tenant = message.Find(platform::kTenant);
+  query.request.tenant = tenant != nullptr ? std::max(0, front_.tenants_.Find(PlainName(*tenant))) : 0;
+  if (Figures* figures = front_.parts_.figures) {
+    query.labels.series = figures->SeriesOf(request_class, tenant);
+    figures->Add(query.labels.series, Figure::kRequests);
+  }
+  const std::string* second_try = message.Find(platform::kSecondTry);
+  query.request.client_retry = second_try != nullptr && *second_try == "1";
+  query.request.estimate = ParseSize(message.Find(platform::kSizeHint));
+  // The client's timeout starts when it sends. The first bytes are the closest to that, unless the query
+  // was written slowly: then it is the last byte.
+  const Micros sent_at = front_.parts_.config.in_service ? stream_->scheduler().Now() : query_began_at_;
+  const meadowslip::RequestClass* known_class = front_.ClassAt(request_class);
+  answer_timeout_ = known_class != nullptr ? known_class->deadline : 0;
+  if (const std::string* deadline = message.Find(platform::kExpiresIn))
+    answer_timeout_ = ParseDeadline(*deadline).value_or(0);
+  query.request.give_up_at = sent_at + answer_timeout_;
+  auto payload = std::make_unique<HttpPayload>(std::move(message));
+  ByteBudget::Share memory = share_.Take(payload->HeldBytes());
+  if (memory.held() > 0) payload->memory = std::make_shared<ByteBudget::Share>(std::move(memory));
+  query.labels.trace = payload->Find(platform::kTraceId);
+  query.labels.tenant = payload->Find(platform::kTenant);
+  if (request_class < 0) query.labels.unknown_class = FirstSegment(payload->target);
+  payload->body_rest = upload_;
+  query.payload = std::move(payload);
+  return query;
+}
+
+// Has the dispatcher handle the query, and waits for its answer. Returns false if none is to be written,
+// since the client has left or was answered here.
+Task<bool> ClientLink::Dispatch(IncomingQuery query) {
+  Counters& counters = front_.parts_.counters;
+  Dispatcher& dispatcher = front_.parts_.dispatcher;
+  Figures* figures = front_.parts_.figures;
+  // Starts no attempt for a client that has left: if its end arrived in one batch with the query, or behind
+  // pipelined ones, there is no further notification of it.
+  const ClientState client = upload_ == nullptr     ? ReadAhead()
+                             : stream_->PeerEnded() ? ClientState::kLeft
+                                                    : ClientState::kPresent;
+  if (client == ClientState::kLeft) {
+    ++counters.taken;
+    ++counters.left;
+    if (figures != nullptr) figures->Add(query.labels.series, Figure::kLeft);
+    co_return false;
+  }
+  if (client == ClientState::kUnknown || query_lacks_memory_) {
+    ++(query_lacks_memory_ ? counters.refused_memory : counters.refused_unread);
+    if (figures != nullptr) figures->Add(query.labels.series, Figure::kThrottled);
+    Throttle(dispatcher.DefaultRetryAfter());
+    co_return true;
+  }
+  const meadowslip::RequestId id = dispatcher.Submit(std::move(query));
+  if (upload_) {
+    bool still_open = co_await AwaitUpload(id);
+    if (!still_open) co_return false;
+  }
+  // Bytes behind a large body have not been read yet: in that case reads before it waits.
+  for (bool wait_first = !upload_; !answered_; wait_first = true) {
+    if (wait_first) co_await stream_->Wait(answer_by_);
+    if (!answered_ && stream_->scheduler().Now() >= answer_by_) dispatcher.Expire(id);
+    if (!answered_ && ReadAhead() == ClientState::kLeft) {
+      dispatcher.ClientLeft(id);
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
 // Reads the rest of a large query until it is complete or answered. Returns false if the link is to be
 // closed: the client has left, or got an error answer.
 Task<bool> ClientLink::AwaitUpload(meadowslip::RequestId id) {
@@ -501,77 +533,6 @@
   }
 }
 
-// Applies the operators' admission rules before the query reaches the dispatcher: tokens, readiness and rate
-// limits. Returns true if the query was refused, and thereby answered, here.
-bool ClientLink::RefusedAtAdmission(const HttpMessage& message, int request_class) {
-  const std::string* tenant = message.Find(platform::kTenant);
-  auto count = [&](Figure why) {
-    if (Figures* figures = front_.parts_.figures) {
-      Figures::Series series = figures->SeriesOf(request_class, tenant);
-      figures->Add(series, Figure::kRequests);
-      figures->Add(series, why);
-    }
-  };
-  // Tokens first: forged queries must not use up a caller's bucket.
-  if (front_.parts_.tokens.enabled()) {
-    const std::string* token = nullptr;
-    bool duplicated = false;
-    for (const Header& header : message.headers) {
-      if (!EqualsIgnoreCase(header.name, platform::kToken)) continue;
-      duplicated = duplicated || token != nullptr;
-      token = &header.value;
-    }
-    std::string_view cls;
-    if (request_class >= 0)
-      cls = front_.parts_.config.settings.classes[static_cast<size_t>(request_class)].name;
-    const Tokens::Verdict verdict =
-        duplicated ? Tokens::Verdict::kForged  // one of them may have been added in transit
-                   : front_.parts_.tokens.Check(token != nullptr ? std::string_view(*token) : "", cls,
-                                                front_.parts_.machine.WallClock());
-    if (verdict != Tokens::Verdict::kPass) {
-      const TokenResponse answer = ResponseFor(verdict);
-      std::string headers;
-      AppendHeader(headers, "Content-Type", "text/plain");
-      if (answer.status == 401) AppendHeader(headers, platform::kChallenge, platform::kToken);
-      ++front_.parts_.counters.denied;
-      count(Figure::kDenied);
-      PrepareAnswer(answer.status, headers, answer.body);
-      return true;
-    }
-  }
-  if (front_.parts_.not_ready && request_class >= 0) {
-    const meadowslip::Settings& settings = front_.parts_.config.settings;
-    const Micros timeout = settings.classes[static_cast<size_t>(request_class)].deadline;
-    if (const std::optional<Micros> wait = front_.parts_.not_ready(timeout)) {
-      ++front_.parts_.counters.not_ready;
-      count(Figure::kThrottled);
-      std::string headers;
-      const Micros capped_wait = std::min(*wait, settings.max_retry_after);
-      if (settings.retry_after && capped_wait > 0)
-        AppendHeader(headers, platform::kRetryAfter, RateLimiter::FormatSeconds(capped_wait));
-      PrepareAnswer(503, headers, "");
-      return true;
-    }
-  }
-  RateLimiter& limiter = front_.parts_.rate_limiter;
-  if (!limiter.enabled()) return false;
-  std::string key = platform::kNoTenant;
-  if (limiter.by_address()) {
-    const std::string from = HostOf(stream_->Peer());
-    if (!from.empty()) key = from;
-  } else if (tenant != nullptr && !tenant->empty()) {
-    key = *tenant;
-  }
-  const std::optional<Micros> wait = limiter.CheckLimit(key, stream_->scheduler().Now());
-  if (!wait) return false;
-  ++front_.parts_.counters.limited;
-  count(Figure::kLimited);
-  std::string headers;
-  if (*wait != kNever) AppendHeader(headers, platform::kRetryAfter, RateLimiter::FormatSeconds(*wait));
-  PrepareAnswer(429, headers, "");
-  return true;
-}
-
 // Reads bytes of the next queries while one is open, to see whether the client has closed the link behind
 // them.
 ClientLink::ClientState ClientLink::ReadAhead() {
--- a/src/front/client_link.h
+++ b/src/front/client_link.h
@@ -14,6 +14,7 @@
 #include "io/network.h"
 #include "links/link_shedding.h"
 #include "links/memory_budgets.h"
+#include "observe/figures.h"
 
 namespace burlfall {
 
@@ -73,7 +74,10 @@
   Task<bool> WriteAnswer();
   Task<bool> WriteProgressing(std::string_view bytes);
   Task<bool> WriteRest();
-  bool RefusedAtAdmission(const HttpMessage& message, int request_class);
+  void AnswerLocally(const HttpMessage& message, int request_class);
+  void CountRefused(const HttpMessage& message, int request_class, Figure why);
+  IncomingQuery MakeQuery(HttpMessage message, int request_class);
+  Task<bool> Dispatch(IncomingQuery query);
   Task<> Linger();
   Io Discard(size_t& received);
   Micros ReadDeadline() const;
--- a/src/front/http_front.cpp
+++ b/src/front/http_front.cpp
@@ -38,6 +38,8 @@
 
 HttpFront::HttpFront(const Parts& parts)
     : parts_(parts),
+      admission_(parts.machine, parts.config, parts.tokens, parts.rate_limiter, parts.not_ready,
+                 parts.counters),
       classes_(parts.config.settings.classes),
       tenants_(parts.config.settings.tenants),
       listener_(OpenListener(parts)),
--- a/src/front/http_front.h
+++ b/src/front/http_front.h
@@ -13,6 +13,7 @@
 #include "config/name_index.h"
 #include "config/platform_config.h"
 #include "dispatch/dispatcher.h"
+#include "front/admission.h"
 #include "front/client_link.h"
 #include "gates/rate_limiter.h"
 #include "gates/tokens.h"
@@ -43,9 +44,7 @@
     RateLimiter& rate_limiter;
     Figures* figures;  // nullptr: off
     Counters& counters;
-    // For a query with this timeout: nothing if it may pass, or the time after which to retry if this
-    // balancer can't serve it before. Empty: all may pass.
-    std::function<std::optional<Micros>(Micros timeout)> not_ready = {};
+    Admission::ReadinessGate not_ready = {};
   };
 
   // Binds the address, or throws std::system_error.
@@ -102,6 +101,10 @@
   bool crowded() const { return open() * 6 >= static_cast<size_t>(parts_.config.sockets); }
 
   // For the client links.
+  // nullptr: the settings don't name the class.
+  const meadowslip::RequestClass* ClassAt(int request_class) const {
+    return request_class < 0 ? nullptr : &parts_.config.settings.classes[static_cast<size_t>(request_class)];
+  }
   bool up() const { return state_ == State::kOpen; }
   bool leaving() const { return state_ > State::kOpen; }
   // Whether descriptors run short, or client links hold more than their third of them: some clients keep a
@@ -120,6 +123,7 @@
   void OnLinkEnded(ClientLink& link);
 
   Parts parts_;
+  Admission admission_;
   const NameIndex classes_, tenants_;  // of the settings, which don't change
   State state_ = State::kNotOpen;
   std::unique_ptr<Listener> listener_;
