Upstream: a connection that comes up is written to a turn later, after all that came with it

Cause: both events are read at once after the pause, but the attempt that waited for its connection runs in the order in which they came, and looked only at what the client's link had handled by then. The same holds for a list that withdraws the host.

Change: an attempt that had to wait for its connection takes one more turn before it writes.

--- a/src/upstream/http_upstream.cpp
+++ b/src/upstream/http_upstream.cpp
@@ -221,7 +221,11 @@
   ++counters_.server_links;
   attempt.link = std::make_unique<Link>(*this, std::move(stream), host.incarnation);
   const Micros connect_by = scheduler_.Now() + connect_timeout_;
+  const bool waits = attempt.link->stream->Opened() == Stream::State::kOpening;
   const bool connected = co_await Connected(*attempt.link->stream, std::min(attempt.send_by, connect_by));
+  // After a pause of this process, other events of the meantime may be behind this one: the client's end, a
+  // list that withdraws the host.
+  if (connected && waits) co_await attempt.link->stream->NextTurn();
   // A query whose time ran out first says nothing about the host. This holds even if the connection came up
   // in time: this process may have been paused since.
   const bool time_over = scheduler_.Now() >= attempt.send_by && (connected || attempt.send_by < connect_by);
--- a/tests/misbehaviour/closed_client_test.cpp
+++ b/tests/misbehaviour/closed_client_test.cpp
@@ -64,6 +64,38 @@
   CHECK(program.Wait(SIGTERM) == 0);
 }
 
+TEST_CASE(
+    "a client closes while the process stands still and a connection comes up: nothing is sent for it") {
+  Peer node;
+  REQUIRE(listen(node.fd(), 0) == 0);
+  Link filler =
+      Link::To(node.port);  // fills the backlog: the attempt's connection comes up with its next SYN
+  Program program(ConfigText({.known = Entry("s-1", node.port),
+                              .sockets = 256,
+                              .connect_timeout = 5000000,
+                              .admin = "127.0.0.1:0",
+                              .memory_mb = static_cast<int>(kLeastMemoryMb)}),
+                  InService());
+  Link client = Link::To(program.port);
+  client.Write(Unsafe("gone"));
+  const auto sent = [&] {
+    Link asking = Link::To(program.port);
+    asking.Write("GET /counters HTTP/1.1\r\n\r\n");
+    return asking.Read().find(" sent=1 ") != std::string::npos;
+  };
+  REQUIRE(WaitUntil(sent));
+  program.Signal(SIGSTOP);
+  siginfo_t stopped{};
+  REQUIRE(waitid(P_PID, static_cast<id_t>(program.pid()), &stopped, WSTOPPED | WNOWAIT) == 0);
+  node.Accept();  // the filler
+  Link attempt = node.Accept();
+  client.Close();
+  poll(nullptr, 0, 150);  // longer than an attempt may begin after the close
+  program.Signal(SIGCONT);
+  CHECK(attempt.Read().empty());
+  CHECK(program.Wait(SIGTERM) == 0);
+}
+
 TEST_CASE("an id that comes again after its client has left does not run twice") {
   ScriptedNode node({.delay = milliseconds(300)});
   Program program(LeastMemoryConfig(node, 256), InService());
