Tests: the crowd's size is explained as it is

Cause: the comment said nine tenths of the connections that fit; 71% of the descriptors are a few more than clients may hold (727 of 719 at 1,024), which is what the tests mean.

Change: the comment alone.

The suite was not run again for a comment.

--- a/tests/misbehaviour/memory_test.cpp
+++ b/tests/misbehaviour/memory_test.cpp
@@ -7,7 +7,7 @@
 
 constexpr size_t kLimitKb = kLeastMemoryMb * 1024;
 
-// Nine tenths of the client connections that fit into the descriptors.
+// A few more than the connections that clients may hold (three quarters of what links may use).
 size_t CrowdSize(int sockets) { return static_cast<size_t>(sockets) * 71 / 100; }
 
 // Lets the crowd write for `span` while a bystander asks; reports the peak, and checks it and the bystander.
